--- /dev/null
+++ b/core/cell/admit.go
@@ -0,0 +1,72 @@
+package cell
+
+import (
+	"time"
+)
+
+// comeBack is when a refused caller may come back.
+const comeBack = time.Second
+
+// refuse returns why j is not taken, and when to come back, or no reason. It sets
+// when j is due.
+func (c *Cell) refuse(now time.Time, j *job) (reason string, after time.Duration) {
+	chain := j.Chain(func(step int) float64 { return c.expected(j, step) })
+	allowed := j.Queue.Stretch*chain + float64(j.Queue.Target)
+	j.due = now.Add(span(allowed))
+	switch {
+	case !c.loaded || c.resting:
+		return ReasonStart, comeBack
+	case c.storeDown(now) || !now.Before(c.leased):
+		return ReasonStore, comeBack
+	case !c.roomy(j):
+		return ReasonTasks, comeBack
+	}
+	wait := c.backlog()
+	if wait > 0 && wait+chain > allowed {
+		return ReasonLoad, max(span(wait), 100*time.Millisecond)
+	}
+	return "", 0
+}
+
+// roomy reports whether each step of j fits on some runner when that is idle.
+func (c *Cell) roomy(j *job) bool {
+	for s := range j.Steps {
+		n := need(&j.Steps[s])
+		found := false
+		for _, r := range c.runners {
+			if r.Service == j.Queue.Service && r.Room.fits(n) {
+				found = true
+				break
+			}
+		}
+		if !found {
+			return false
+		}
+	}
+	return true
+}
+
+// backlog returns the time that the runners need for what waits, in milliseconds.
+func (c *Cell) backlog() float64 {
+	waiting, capacity := 0.0, 0.0
+	for _, j := range c.ready {
+		for s := range j.tasks {
+			each := c.expected(j, s) * float64(j.Steps[s].CPU)
+			for _, t := range j.tasks[s] {
+				if t.ready {
+					waiting += each
+				}
+			}
+		}
+	}
+	for _, r := range c.runners {
+		if r.listed && r.fenced && !r.Leaving {
+			capacity += float64(r.Room.CPU) * r.speed.factor()
+		}
+	}
+	if capacity == 0 {
+		return 0
+	}
+	const packed = 0.85 // of the cores that tasks can use
+	return waiting / (packed * capacity)
+}
--- /dev/null
+++ b/core/cell/dispatch.go
@@ -0,0 +1,224 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"gypsumward/core/order"
+	"gypsumward/core/work"
+)
+
+func need(s *work.Step) Room {
+	return Room{CPU: s.CPU, Memory: s.Memory, GPU: s.GPU}
+}
+
+// dispatch starts what fits, in the order of due times.
+func (c *Cell) dispatch(now time.Time) {
+	if !c.mayStart(now) || len(c.ready) == 0 {
+		return
+	}
+	usable := c.usable(now)
+	if len(usable) == 0 {
+		return
+	}
+	for i := 0; i < len(c.ready); {
+		j := c.ready[i]
+		if j.inherited && !c.safe {
+			i++
+			continue
+		}
+		c.start(now, j, usable)
+		if j.ready > 0 {
+			i++
+			if !c.anyRoom(usable) {
+				return
+			}
+			continue
+		}
+		j.listed = false
+		c.ready = slices.Delete(c.ready, i, i+1)
+	}
+}
+
+// leastTask is the room below which a runner counts as full.
+const leastTask = 100 // thousandths of a core
+
+func (c *Cell) anyRoom(usable []*runner) bool {
+	for _, r := range usable {
+		if r.free().CPU >= leastTask {
+			return true
+		}
+	}
+	return false
+}
+
+// usable returns the runners that may be given work.
+func (c *Cell) usable(now time.Time) []*runner {
+	var list []*runner
+	for _, r := range c.runners {
+		if r.listed && !r.Leaving && r.fenced && !r.health.resting(now) && !r.silent(now, c.answerTime(r)) && r.free().CPU > 0 {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b *runner) int {
+		if a.speed.log != b.speed.log {
+			if a.speed.log > b.speed.log {
+				return -1
+			}
+			return 1
+		}
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// start starts the tasks of j that fit.
+func (c *Cell) start(now time.Time, j *job, usable []*runner) {
+	for s := range j.tasks {
+		for _, t := range j.tasks[s] {
+			if !t.ready {
+				continue
+			}
+			r := c.choose(now, t, usable)
+			if r == nil {
+				break
+			}
+			c.order(now, t, r)
+		}
+	}
+}
+
+// choose returns the runner for t, or nil if it fits nowhere: the slowest of those
+// that would end it in time, else the fastest.
+func (c *Cell) choose(now time.Time, t *task, usable []*runner) *runner {
+	n := need(t.spec())
+	expected := c.expected(t.job, t.step)
+	left := milliseconds(t.job.due.Sub(now))
+	var best *runner
+	bestScore := 0.0
+	for _, r := range usable {
+		if !c.fit(t, r, n) {
+			continue
+		}
+		score := c.score(t, r, n, expected, left)
+		if best == nil || score > bestScore {
+			best, bestScore = r, score
+		}
+	}
+	return best
+}
+
+// safety is how much longer than expected a task is taken to last.
+const safety = 1.3
+
+func (c *Cell) score(t *task, r *runner, n Room, expected, left float64) float64 {
+	f := r.speed.factor()
+	score := f
+	if expected/f*safety <= left {
+		score = 10 - f
+	}
+	rest := r.free().less(n)
+	score -= float64(rest.CPU%max(n.CPU, 1)) / float64(max(r.Room.CPU, 1)) * 0.5
+	if t.spec().Rack != "" && slices.Contains(r.Labels, t.spec().Rack) {
+		score += 5
+	}
+	if r.health.streak > 0 {
+		score -= 20
+	}
+	if slices.Contains(t.tried, r) {
+		score -= 40
+	}
+	return score
+}
+
+// fit reports whether r may run t now.
+func (c *Cell) fit(t *task, r *runner, n Room) bool {
+	s := t.spec()
+	if r.Service != t.job.Queue.Service || !r.free().fits(n) {
+		return false
+	}
+	if s.Label != "" && !slices.Contains(r.Labels, s.Label) {
+		return false
+	}
+	if r.health.streak > 0 && len(r.runs) > 0 {
+		return false // one at a time until it has done one
+	}
+	if s.Spread > 0 {
+		count := 0
+		for _, x := range r.runs {
+			if x.key.task.Job == t.job.ID && x.key.task.Step == t.step {
+				count++
+			}
+		}
+		return count < s.Spread
+	}
+	return true
+}
+
+// order starts a run of t on r.
+func (c *Cell) order(now time.Time, t *task, r *runner) {
+	deadline := c.deadline(now, r)
+	if deadline == 0 {
+		return
+	}
+	t.last = max(t.last, t.floor) + 1
+	x := &run{key: runKey{t.name(), t.last}, task: t, runner: r, room: need(t.spec()), token: r.token, sent: now}
+	t.run, t.ready = x, false
+	t.job.ready--
+	r.runs[x.key] = x
+	r.used = r.used.more(x.room)
+	r.until = max(r.until, deadline)
+	if r.asked.IsZero() {
+		r.asked = now
+	}
+	c.Counter.Count("starts", 1)
+	c.log("event", "start", "job", t.job.ID, "task", t.index, "run", t.last, "runner", r.ID, "waited", now.Sub(t.job.arrived),
+		"left", t.job.due.Sub(now), "speed", r.speed.factor(), "free", r.free().CPU)
+	c.Orders.Start(r.target(), order.Start{
+		Task: x.key.task, Run: x.key.run, Spec: t.job.Spec, Deadline: deadline, Token: r.token,
+	})
+}
+
+// Started takes the answer to a start.
+func (c *Cell) Started(now time.Time, id string, given order.Start, v order.Reply) {
+	r := c.runners[id]
+	if r == nil || c.deposed {
+		return
+	}
+	x := r.runs[runKey{given.Task, given.Run}]
+	if !c.heard(now, r, given.Token, v.Verdict) {
+		if v.Verdict == order.Unfit {
+			r.health.failed(now)
+		}
+		if x != nil && (v.Verdict == order.Unfit || v.Verdict == order.Fenced) {
+			c.refused(now, x, v.Verdict)
+		}
+		return
+	}
+	r.take(now, max(v.Clock, r.clock))
+	if x == nil {
+		return
+	}
+	if v.Verdict == order.Done {
+		x.answered = now
+		r.health.took(now.Sub(x.sent))
+		return
+	}
+	c.refused(now, x, v.Verdict)
+}
+
+// refused takes back a run that was not started.
+func (c *Cell) refused(now time.Time, x *run, v order.Verdict) {
+	c.Counter.Count("not_started_"+v.String(), 1)
+	c.log("event", "notstarted", "runner", x.runner.ID, "job", x.key.task.Job, "task", x.key.task.Index, "run", x.key.run,
+		"why", v.String())
+	if v == order.Old {
+		c.fence(now, x.runner) // the list tells whether it runs
+		return
+	}
+	c.release(now, x)
+	c.dispatch(now)
+}
--- /dev/null
+++ b/core/cell/ends.go
@@ -0,0 +1,179 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"gypsumward/core/order"
+)
+
+// ends takes the ends that a runner lists.
+func (c *Cell) ends(now time.Time, r *runner, list []order.End) {
+	for _, e := range list {
+		if e.N <= r.acked {
+			continue
+		}
+		if _, known := r.ends[e.N]; known {
+			continue
+		}
+		r.ends[e.N] = false
+		r.top = max(r.top, e.N)
+		c.end(now, r, e)
+	}
+	r.advance()
+}
+
+// advance moves the number up to which all ends may be forgotten.
+func (r *runner) advance() {
+	for r.ends[r.acked+1] {
+		r.acked++
+		delete(r.ends, r.acked)
+	}
+}
+
+// settle notes that the rows hold what follows from an end.
+func (e endRef) settle() {
+	if e.runner.life != e.life {
+		return
+	}
+	if _, known := e.runner.ends[e.n]; known {
+		e.runner.ends[e.n] = true
+		e.runner.advance()
+	}
+}
+
+// end takes one end.
+func (c *Cell) end(now time.Time, r *runner, e order.End) {
+	key := runKey{e.Task, e.Run}
+	x := r.runs[key]
+	ref := endRef{runner: r, life: r.life, n: e.N}
+	j := c.jobs[e.Task.Job]
+	var t *task
+	if j != nil {
+		t = j.task(e.Task)
+	}
+	c.Counter.Count("end_"+string(e.How), 1)
+	if x != nil {
+		c.learn(now, x, e.How)
+	}
+	switch {
+	case t == nil || j.state.Ended():
+		c.drop(now, x, ref)
+	case e.How == order.Finished:
+		c.done(now, t, x, e, ref)
+	case e.How == order.Failed:
+		c.fail(now, t, x, e, ref)
+	default:
+		if x != nil && x.stopping.IsZero() {
+			c.log("event", "interrupted", "runner", r.ID, "job", e.Task.Job, "task", e.Task.Index, "run", e.Run, "how", string(e.How))
+		}
+		t.last = max(t.last, e.Run)
+		c.drop(now, x, ref)
+	}
+}
+
+// drop takes an end that changes no job.
+func (c *Cell) drop(now time.Time, x *run, ref endRef) {
+	if x != nil {
+		c.release(now, x)
+	}
+	ref.settle()
+}
+
+// done takes the end of a run that did its work. One of a run that was given up
+// counts as long as the task has not been started again.
+func (c *Cell) done(now time.Time, t *task, x *run, e order.End, ref endRef) {
+	if t.done || e.Run < t.last {
+		c.drop(now, x, ref)
+		return
+	}
+	j := t.job
+	t.last, t.done = e.Run, true
+	if x != nil {
+		c.release(now, x)
+	}
+	j.open[t.step]--
+	j.hold(now, ref)
+	j.refresh()
+	c.enlist(j)
+	if j.complete() {
+		c.finish(now, j, "succeeded")
+	}
+}
+
+// fail takes the end of a run that failed.
+func (c *Cell) fail(now time.Time, t *task, x *run, e order.End, ref endRef) {
+	if t.done || e.Run < t.last || e.Run <= t.bad {
+		c.drop(now, x, ref)
+		return
+	}
+	j := t.job
+	t.last, t.bad = e.Run, e.Run
+	t.fails++
+	j.failed++
+	r := ref.runner
+	c.blame(now, j, r)
+	t.tried = append(t.tried, r)
+	c.log("event", "fail", "job", j.ID, "task", t.index, "run", e.Run, "runner", r.ID, "fails", t.fails, "of", j.Queue.Attempts)
+	if x != nil {
+		c.release(now, x)
+	}
+	j.hold(now, ref)
+	if t.fails >= max(j.Queue.Attempts, 1) {
+		c.finish(now, j, "failed")
+		return
+	}
+	if !j.Transient {
+		j.row.wanted = true
+		c.touch(j)
+	}
+}
+
+// hold keeps an end from being acknowledged until the rows hold what follows from it.
+func (j *job) hold(now time.Time, ref endRef) {
+	if j.Transient {
+		ref.settle()
+		return
+	}
+	j.unsettled = append(j.unsettled, ref)
+	if len(j.unsettled) == 1 {
+		j.oldest = now
+	}
+}
+
+// progressAge is how long an end may wait for that of its job.
+const progressAge = 500 * time.Millisecond
+
+// stall stores what is done of jobs whose oldest end is not stored for long, and
+// stops runs that stand still.
+func (c *Cell) stall(now time.Time) {
+	for _, j := range c.jobs {
+		if len(j.unsettled) > 0 && !j.state.Ended() && now.Sub(j.oldest) > progressAge && !j.row.wanted {
+			j.row.wanted = true
+			j.oldest = now
+			c.touch(j)
+		}
+	}
+	for _, r := range c.runners {
+		for _, x := range r.runs {
+			c.watch(now, x)
+		}
+	}
+}
+
+// blame charges a failure to the runner, unless the job has failed elsewhere too: it
+// is then the job's own, and runners charged before are cleared.
+func (c *Cell) blame(now time.Time, j *job, r *runner) {
+	if len(j.blamed) == 0 {
+		j.blamed = append(j.blamed, r)
+		r.health.failed(now)
+		return
+	}
+	if slices.Contains(j.blamed, r) {
+		return
+	}
+	for _, b := range j.blamed {
+		b.health.clear()
+	}
+	j.blamed = append(j.blamed, r)
+}
--- /dev/null
+++ b/core/cell/job.go
@@ -0,0 +1,177 @@
+package cell
+
+import (
+	"time"
+
+	"gypsumward/core/work"
+)
+
+// Verdict is what a caller is told of a job that it handed in.
+type Verdict int
+
+// The verdicts.
+const (
+	Open     Verdict = iota // it may be stored or not
+	Accepted                // it is stored, or has ended if it is transient
+	Refused                 // it is not stored and never runs
+)
+
+// Outcome is the answer to a job handed in.
+type Outcome struct {
+	Verdict Verdict
+	State   work.State    // of an accepted job
+	Reason  string        // of a refusal
+	After   time.Duration // when to come back
+}
+
+// The reasons of refusals.
+const (
+	ReasonLoad  = "load"  // it could not be done in time
+	ReasonStore = "store" // the store takes no writes
+	ReasonStart = "start" // the cell is being taken over
+	ReasonTasks = "tasks" // no runner is large enough
+)
+
+// job is a job that has not ended, or whose end is not stored.
+type job struct {
+	work.Job
+	arrived time.Time
+	due     time.Time // after which its answer is late
+	state   work.State
+	tasks   [][]*task
+	open    []int // tasks of each step that are not done
+	ready   int   // tasks that may be started now
+	failed  int   // ends that failed
+	blamed  []*runner
+	row     jobRow
+
+	unsettled []endRef // ends that the rows do not hold yet
+	oldest    time.Time
+
+	inherited bool
+	listed    bool // in Cell.ready
+	waiting   []waiter
+	cancels   []func(work.State, bool)
+}
+
+// waiter is a caller that waits for what becomes of a job.
+type waiter struct {
+	name string
+	told func(Outcome)
+}
+
+// endRef names an end that a runner has listed.
+type endRef struct {
+	runner *runner
+	life   int64
+	n      int64
+}
+
+// task is one task of a job.
+type task struct {
+	job   *job
+	step  int
+	index int
+	last  int // highest run known
+	floor int // below the numbers of runs that this holder starts
+	fails int
+	bad   int // highest run that failed and was counted
+	done  bool
+	ready bool // may be started
+	run   *run // that may be alive
+	tried []*runner
+}
+
+func newJob(j work.Job, now time.Time) *job {
+	n := &job{Job: j, arrived: now, state: work.Queued}
+	n.tasks = make([][]*task, len(j.Steps))
+	n.open = make([]int, len(j.Steps))
+	for s := range j.Steps {
+		n.open[s] = j.Steps[s].Count
+		n.tasks[s] = make([]*task, j.Steps[s].Count)
+		for i := range n.tasks[s] {
+			n.tasks[s][i] = &task{job: n, step: s, index: i}
+		}
+	}
+	return n
+}
+
+// task returns the task of a name, or nil.
+func (j *job) task(name work.Task) *task {
+	if name.Occurrence != 0 || name.Step < 0 || name.Step >= len(j.tasks) {
+		return nil
+	}
+	step := j.tasks[name.Step]
+	if name.Index < 0 || name.Index >= len(step) {
+		return nil
+	}
+	return step[name.Index]
+}
+
+func (t *task) name() work.Task {
+	return work.Task{Job: t.job.ID, Step: t.step, Index: t.index}
+}
+
+func (t *task) spec() *work.Step {
+	return &t.job.Steps[t.step]
+}
+
+// due reports whether all steps before step are done.
+func (j *job) turn(step int) bool {
+	for _, a := range j.Steps[step].After {
+		if j.open[a] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// refresh counts the tasks that may be started now.
+func (j *job) refresh() {
+	j.ready = 0
+	for s := range j.tasks {
+		turn := j.turn(s) && !j.state.Ended()
+		for _, t := range j.tasks[s] {
+			t.ready = turn && !t.done && t.run == nil
+			if t.ready {
+				j.ready++
+			}
+		}
+	}
+}
+
+// complete reports whether all tasks are done.
+func (j *job) complete() bool {
+	for _, n := range j.open {
+		if n > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// begun reports whether a task has been started.
+func (j *job) begun() bool {
+	for _, step := range j.tasks {
+		for _, t := range step {
+			if t.done || t.run != nil || t.last > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (j *job) tell(o Outcome) {
+	for _, w := range j.waiting {
+		w.told(o)
+	}
+	j.waiting = nil
+}
+
+func (j *job) tellCancel(state work.State, stored bool) {
+	for _, w := range j.cancels {
+		w(state, stored)
+	}
+	j.cancels = nil
+}
--- a/core/faults/fake_table_test.go
+++ b/core/faults/fake_table_test.go
@@ -93,6 +93,9 @@
 	p.version++
 	p.writes++
 	for _, op := range w.Ops {
+		if op.Check {
+			continue
+		}
 		if op.Delete {
 			delete(p.rows, op.Key)
 			continue
--- /dev/null
+++ b/core/front/stored.go
@@ -0,0 +1,21 @@
+package front
+
+import (
+	"encoding/json"
+
+	"gypsumward/core/cell"
+	"gypsumward/core/table"
+	"gypsumward/core/work"
+)
+
+// endState returns the state in the row of an end, if there is one.
+func endState(found table.Found) (work.State, bool) {
+	if len(found.Rows) == 0 || found.Rows[0].Version == 0 {
+		return work.Unknown, false
+	}
+	var e cell.Ended
+	if json.Unmarshal(found.Rows[0].Value, &e) != nil || !e.State.Ended() {
+		return work.Unknown, false
+	}
+	return e.State, true
+}
--- /dev/null
+++ b/core/mirror/mirror.go
@@ -0,0 +1,109 @@
+package mirror
+
+import (
+	"context"
+	"time"
+
+	"gypsumward/core/span"
+	"gypsumward/core/table"
+)
+
+// Defaults of Mirror.
+const (
+	DefaultWait    = time.Second
+	DefaultTimeout = 700 * time.Millisecond
+	DefaultPause   = 60 * time.Millisecond
+	maxPause       = 500 * time.Millisecond
+)
+
+// Store is what a Mirror needs of the store.
+type Store interface {
+	Scan(ctx context.Context, s table.Scan) (table.Found, error)
+	Watch(ctx context.Context, w table.Watch) (table.Changes, error)
+}
+
+// Mirror follows the rows under a prefix. Its fields are set before Run.
+type Mirror struct {
+	Store   Store
+	Prefix  string
+	Wait    time.Duration // of the store for a change; zero means DefaultWait
+	Timeout time.Duration // for an answer, besides Wait; zero means DefaultTimeout
+
+	// Take takes rows: all there are if whole is set, else those that changed, where
+	// one without version was removed. It is called after every answer.
+	Take func(rows []table.Row, whole bool)
+	// Fail is told of each call that failed; may be nil.
+	Fail func(err error)
+}
+
+// Run follows until ctx ends.
+func (m *Mirror) Run(ctx context.Context) {
+	if m.Wait == 0 {
+		m.Wait = DefaultWait
+	}
+	if m.Timeout == 0 {
+		m.Timeout = DefaultTimeout
+	}
+	after, pause := int64(0), DefaultPause
+	for ctx.Err() == nil {
+		next, err := m.step(ctx, after)
+		if err == nil {
+			after, pause = next, DefaultPause
+			continue
+		}
+		if m.Fail != nil && ctx.Err() == nil {
+			m.Fail(err)
+		}
+		sleep(ctx, pause)
+		pause = min(2*pause, maxPause)
+	}
+}
+
+// step makes one call and returns the version to go on from, or zero to read anew.
+func (m *Mirror) step(ctx context.Context, after int64) (int64, error) {
+	if after == 0 {
+		return m.read(ctx)
+	}
+	limited, cancel := context.WithTimeout(ctx, m.Wait+m.Timeout)
+	defer cancel()
+	changes, err := m.Store.Watch(limited, table.Watch{Prefix: m.Prefix, After: after, Wait: span.Of(m.Wait)})
+	if err != nil || changes.Lost {
+		return 0, err
+	}
+	m.Take(changes.Rows, false)
+	return max(after, changes.Version), nil
+}
+
+// read reads all rows, page by page.
+func (m *Mirror) read(ctx context.Context) (int64, error) {
+	var rows []table.Row
+	version := int64(0)
+	last := ""
+	for {
+		limited, cancel := context.WithTimeout(ctx, m.Timeout)
+		found, err := m.Store.Scan(limited, table.Scan{Prefix: m.Prefix, After: last, Limit: table.MaxScan})
+		cancel()
+		if err != nil {
+			return 0, err
+		}
+		if version == 0 {
+			version = max(found.Version, 1)
+		}
+		rows = append(rows, found.Rows...)
+		if !found.More || len(found.Rows) == 0 {
+			break
+		}
+		last = found.Rows[len(found.Rows)-1].Key
+	}
+	m.Take(rows, true)
+	return version, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -19,6 +19,7 @@
 	If     int64           `json:"if"`               // required version; zero means the row must be absent; Any means no condition
 	Value  json.RawMessage `json:"value,omitempty"`  // the new value
 	Delete bool            `json:"delete,omitempty"` // deletes the row; Value is ignored
+	Check  bool            `json:"check,omitempty"`  // only requires the version; Value is ignored
 }
 
 // Any is the Op.If of an operation without condition.
@@ -61,7 +62,25 @@
 // Found lists rows: for a Read one for each key in its order, for a Scan in the
 // order of keys.
 type Found struct {
-	Rows []Row `json:"rows"`
+	Rows    []Row `json:"rows"`
+	Version int64 `json:"version,omitempty"` // of the table service at that moment; zero if it does not say
+	More    bool  `json:"more,omitempty"`    // a Scan was cut off; scan again after the last key
+}
+
+// Watch asks for the rows with a prefix that changed after a version, and waits for
+// one.
+type Watch struct {
+	Prefix string    `json:"prefix"`
+	After  int64     `json:"after"`
+	Wait   span.Span `json:"wait"`
+}
+
+// Changes lists rows that changed, in order. A row without version was removed. If
+// Lost is set, the history is gone: scan, and watch from the version of that.
+type Changes struct {
+	Rows    []Row `json:"rows"`
+	Version int64 `json:"version"`
+	Lost    bool  `json:"lost,omitempty"`
 }
 
 // Kind is what a member of the live list is.
--- /dev/null
+++ b/core/tenure/keeper.go
@@ -0,0 +1,380 @@
+package tenure
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"gypsumward/core/mirror"
+	"gypsumward/core/table"
+)
+
+// Defaults of Settings.
+const (
+	DefaultBeat    = 300 * time.Millisecond
+	DefaultLease   = 1200 * time.Millisecond
+	DefaultStale   = 2 * time.Second
+	DefaultTimeout = 700 * time.Millisecond
+	DefaultWatch   = time.Second
+	DefaultProbe   = 150 * time.Millisecond
+	step           = 25 * time.Millisecond
+	jitter         = 60 * time.Millisecond
+)
+
+// Settings are the times of a Keeper. Zero values mean the defaults.
+type Settings struct {
+	Beat    time.Duration // between signs of life
+	Lease   time.Duration // for which a sign of life counts, from its sending
+	Stale   time.Duration // without a sign of life until the holder is replaced; above Lease
+	Timeout time.Duration // for a call of the store
+	Watch   time.Duration // for which the store waits for a change
+	Probe   time.Duration // between looks whether the holder listens
+}
+
+func (s Settings) withDefaults() Settings {
+	set := func(d *time.Duration, to time.Duration) {
+		if *d == 0 {
+			*d = to
+		}
+	}
+	set(&s.Beat, DefaultBeat)
+	set(&s.Lease, DefaultLease)
+	set(&s.Stale, DefaultStale)
+	set(&s.Timeout, DefaultTimeout)
+	set(&s.Watch, DefaultWatch)
+	set(&s.Probe, DefaultProbe)
+	return s
+}
+
+// Store is what a Keeper needs of the store.
+type Store interface {
+	Write(ctx context.Context, w table.Write) (table.Written, error)
+	Scan(ctx context.Context, s table.Scan) (table.Found, error)
+	Watch(ctx context.Context, w table.Watch) (table.Changes, error)
+}
+
+// Clock gives the time.
+type Clock interface {
+	Now() time.Time
+}
+
+// Member is one life of an instance.
+type Member struct {
+	Node  string `json:"node"`
+	Life  string `json:"life"` // differs with every start
+	Addr  string `json:"addr"` // for calls between instances
+	Zone  string `json:"zone"`
+	Since int64  `json:"since"` // milliseconds on the time of day, for choosing a successor only
+}
+
+// Holder is the row of the holder.
+type Holder struct {
+	Member
+	Round int `json:"round"` // holders so far
+}
+
+// Beat is the sign of life of a holder.
+type Beat struct {
+	Life    string `json:"life"`
+	Number  int64  `json:"number"`
+	Runners int    `json:"runners"` // to which it can give orders
+}
+
+// Term is one holding.
+type Term struct {
+	Epoch   int64 // version of the row
+	Round   int
+	Runners int // of the former holder
+}
+
+// Leader does what a holder does. Its methods must not call the Keeper.
+type Leader interface {
+	// Lead begins a term.
+	Lead(t Term)
+	// Renew tells until when no other can have become the holder.
+	Renew(t Term, until time.Time)
+	// Lose ends a term.
+	Lose(t Term, why string)
+	// Runners returns the number of runners that orders can be given to.
+	Runners() int
+}
+
+// Keeper follows who holds a cell, and becomes the holder when there is none. Its
+// exported fields are set before Run.
+type Keeper struct {
+	Cell     string // the first part of the keys
+	Self     Member
+	Store    Store
+	Clock    Clock
+	Leader   Leader
+	Settings Settings
+	Log      log.Logger
+	// Refuses reports whether nothing listens at an address, as opposed to no answer.
+	Refuses func(ctx context.Context, addr string) bool
+
+	mu      sync.Mutex
+	holder  Holder
+	version int64 // of the row; zero if there is none
+	beat    Beat
+	seen    time.Time // last sign of life
+	healthy time.Time // since when the watch was answered
+	known   bool      // the rows have been read
+	term    Term      // of this instance, if leading
+	leading bool
+	retired bool // does not become the holder any more
+	number  int64
+	changed chan struct{}
+}
+
+// New returns a keeper of a cell that has read nothing.
+func New(cell string, s Settings) *Keeper {
+	return &Keeper{Cell: cell, Settings: s.withDefaults(), Log: log.NewNopLogger(), changed: make(chan struct{})}
+}
+
+// Holder returns the holder, the version of its row and whether this instance is it.
+// The version is zero if there is none or it is not known yet.
+func (k *Keeper) Holder() (h Holder, version int64, self bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.holder, k.version, k.leading
+}
+
+// Changed returns a channel that is closed when the holder changes.
+func (k *Keeper) Changed() <-chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.changed
+}
+
+// Retire keeps this instance from becoming the holder.
+func (k *Keeper) Retire() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.retired = true
+}
+
+// Run follows the rows until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, duty := range []func(context.Context){k.follow, k.beatAll, k.succeed} {
+		wg.Go(func() { duty(ctx) })
+	}
+	wg.Wait()
+}
+
+func (k *Keeper) key(row string) string {
+	return k.Cell + "/cells/" + row
+}
+
+func (k *Keeper) prefix() string {
+	return k.Cell + "/cells/"
+}
+
+// follow watches the rows.
+func (k *Keeper) follow(ctx context.Context) {
+	m := mirror.Mirror{
+		Store: k.Store, Prefix: k.prefix(), Wait: k.Settings.Watch, Timeout: k.Settings.Timeout,
+		Take: func(rows []table.Row, whole bool) {
+			k.take(rows)
+			if whole {
+				k.mu.Lock()
+				k.known = true
+				k.mu.Unlock()
+			}
+		},
+		Fail: func(error) {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			k.healthy = time.Time{}
+		},
+	}
+	m.Run(ctx)
+}
+
+// take takes rows as they have changed.
+func (k *Keeper) take(rows []table.Row) {
+	now := k.Clock.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.healthy.IsZero() {
+		k.healthy = now
+	}
+	for _, r := range rows {
+		switch r.Key {
+		case k.key("holder"):
+			k.takeHolder(now, r)
+		case k.key("beat"):
+			var b Beat
+			if json.Unmarshal(r.Value, &b) == nil && b != k.beat {
+				k.beat, k.seen = b, now
+			}
+		}
+	}
+}
+
+func (k *Keeper) takeHolder(now time.Time, r table.Row) {
+	if r.Version <= k.version {
+		return
+	}
+	var h Holder
+	if json.Unmarshal(r.Value, &h) != nil {
+		h = Holder{}
+	}
+	former := k.term
+	led := k.leading
+	k.holder, k.version, k.seen = h, r.Version, now
+	close(k.changed)
+	k.changed = make(chan struct{})
+	_ = k.Log.Log("event", "holder", "node", h.Node, "life", h.Life, "epoch", r.Version, "round", h.Round)
+	k.leading = h.Life == k.Self.Life
+	if led && former.Epoch != r.Version {
+		k.Leader.Lose(former, "the row names "+h.Node)
+	}
+	if k.leading {
+		k.term = Term{Epoch: r.Version, Round: h.Round, Runners: k.beat.Runners}
+		k.Leader.Lead(k.term)
+	}
+}
+
+// beatAll writes signs of life while this instance is the holder.
+func (k *Keeper) beatAll(ctx context.Context) {
+	for ctx.Err() == nil {
+		k.mu.Lock()
+		leading, term, changed := k.leading, k.term, k.changed
+		k.mu.Unlock()
+		if !leading {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		began := k.Clock.Now()
+		k.writeBeat(ctx, term, began)
+		pause(ctx, k.Settings.Beat-k.Clock.Now().Sub(began))
+	}
+}
+
+func (k *Keeper) writeBeat(ctx context.Context, term Term, now time.Time) {
+	runners := k.Leader.Runners()
+	k.mu.Lock()
+	k.number++
+	b := Beat{Life: k.Self.Life, Number: k.number, Runners: runners}
+	k.mu.Unlock()
+	limited, cancel := context.WithTimeout(ctx, k.Settings.Timeout)
+	defer cancel()
+	written, err := k.Store.Write(limited, table.Write{Ops: []table.Op{
+		{Key: k.key("holder"), If: term.Epoch, Check: true},
+		{Key: k.key("beat"), If: table.Any, Value: encode(b)},
+	}})
+	switch {
+	case err != nil:
+		pause(ctx, 20*time.Millisecond)
+	case written.Done:
+		k.Leader.Renew(term, now.Add(k.Settings.Lease))
+	default:
+		k.take(written.Conflict)
+	}
+}
+
+// succeed becomes the holder when there is none.
+func (k *Keeper) succeed(ctx context.Context) {
+	probed := time.Time{}
+	for ctx.Err() == nil {
+		pause(ctx, step)
+		now := k.Clock.Now()
+		k.mu.Lock()
+		idle := !k.known || k.leading || k.retired
+		holder, version, stale := k.holder, k.version, k.staleAt(now)
+		k.mu.Unlock()
+		if idle {
+			continue
+		}
+		why := ""
+		switch {
+		case version == 0 || holder.Life == "":
+			why = "there is none"
+		case holder.Node == k.Self.Node:
+			why = "it was a former life of this instance"
+		case stale:
+			why = "no sign of life"
+		case now.Sub(probed) >= k.Settings.Probe:
+			probed = now
+			if k.Refuses(ctx, holder.Addr) {
+				why = "nothing listens there"
+			}
+		}
+		if why != "" {
+			pause(ctx, rand.N(jitter))
+			k.claim(ctx, version, holder.Round+1, why)
+		}
+	}
+}
+
+// staleAt reports whether the holder has given no sign of life for long.
+func (k *Keeper) staleAt(now time.Time) bool {
+	return !k.healthy.IsZero() && now.Sub(k.seen) > k.Settings.Stale && now.Sub(k.healthy) > k.Settings.Stale
+}
+
+// claim puts the own name if the row is still as it was.
+func (k *Keeper) claim(ctx context.Context, version int64, round int, why string) {
+	_ = k.Log.Log("event", "claim", "why", why, "version", version, "round", round)
+	k.put(ctx, version, Holder{Member: k.Self, Round: round})
+}
+
+// put writes the row of the holder on the condition of its version. It reports
+// whether the row changed as asked.
+func (k *Keeper) put(ctx context.Context, version int64, h Holder) bool {
+	limited, cancel := context.WithTimeout(ctx, k.Settings.Timeout)
+	defer cancel()
+	value := encode(h)
+	written, err := k.Store.Write(limited, table.Write{Ops: []table.Op{
+		{Key: k.key("holder"), If: version, Value: value},
+	}})
+	if err != nil {
+		return false
+	}
+	if written.Done {
+		k.take([]table.Row{{Key: k.key("holder"), Version: written.Version, Value: value}})
+		return true
+	}
+	k.take(written.Conflict)
+	return false
+}
+
+// Resign hands the cell to another member. It reports whether this instance is the
+// holder no more.
+func (k *Keeper) Resign(ctx context.Context, to Member) bool {
+	k.mu.Lock()
+	leading, term := k.leading, k.term
+	k.mu.Unlock()
+	if !leading {
+		return true
+	}
+	_ = k.Log.Log("event", "resign", "to", to.Node, "epoch", term.Epoch)
+	return k.put(ctx, term.Epoch, Holder{Member: to, Round: term.Round + 1})
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func encode(v any) json.RawMessage {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic("tenure: a row cannot be encoded: " + err.Error())
+	}
+	return raw
+}
--- /dev/null
+++ b/gypsumward/hosted/host.go
@@ -0,0 +1,272 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
+
+	"gypsumward/core/cell"
+	"gypsumward/core/front"
+	"gypsumward/core/lead"
+	"gypsumward/core/mirror"
+	"gypsumward/core/peer"
+	"gypsumward/core/record"
+	"gypsumward/core/route"
+	"gypsumward/core/stamp"
+	"gypsumward/core/steady"
+	"gypsumward/core/table"
+	"gypsumward/core/tenure"
+	"gypsumward/platform"
+)
+
+// CellName is the cell of all runners.
+const CellName = "c0"
+
+// Times of a shutdown, from the signal on.
+const (
+	handTime   = 600 * time.Millisecond  // to hand the cell over
+	noticeTime = 2500 * time.Millisecond // until clients have been sent elsewhere
+	lastMargin = 700 * time.Millisecond  // left of the time until the process is killed
+)
+
+const (
+	runnerConns = 8
+	storeConns  = 8
+	peerCalls   = 1024
+	peerBeat    = 300 * time.Millisecond
+	refuseTime  = 250 * time.Millisecond
+	metricsPort = "9464"
+)
+
+// Host is one entry instance.
+type Host struct {
+	settings *platform.Settings
+	log      log.Logger
+	ring     *record.Ring
+	gauge    *gauge
+	clock    steady.Clock
+	configs  route.Current
+	runners  directory
+	front    *front.Front
+	keeper   *tenure.Keeper
+	store    *platform.Store
+	orders   *platform.Runners
+	client   *peer.Client
+	leaving  atomic.Bool
+}
+
+// New returns an instance with the given settings, which logs to out.
+func New(s *platform.Settings, out io.Writer) *Host {
+	h := &Host{settings: s, ring: record.New(out, 0), gauge: newGauge()}
+	h.log = log.With(log.NewLogfmtLogger(h.ring), "t", log.Valuer(func() any { return time.Now().UnixMilli() }))
+	h.store = &platform.Store{Client: platform.NewClient(storeConns), Addr: s.Store}
+	h.orders = &platform.Runners{Client: platform.NewClient(runnerConns)}
+	now := time.Now()
+	self := tenure.Member{
+		Node: s.Node, Life: fmt.Sprintf("%s@%d", s.Node, now.UnixNano()), Zone: s.Zone,
+		Addr: fmt.Sprintf("%s:%d", s.IP, s.Ports[0]), Since: now.UnixMilli(),
+	}
+	h.client = &peer.Client{
+		Clock: &stamp.Clock{}, Calls: peerCalls, Beat: peerBeat, Pause: 20 * time.Millisecond, Dial: dial,
+	}
+	h.keeper = tenure.New(CellName, tenure.Settings{})
+	h.front = &front.Front{
+		Cell: CellName, Self: self, Keeper: h.keeper, Client: h.client, Store: h.store, Clock: h.clock,
+		Log: h.log, Begin: h.begin,
+	}
+	h.keeper.Self, h.keeper.Store, h.keeper.Clock = self, h.store, h.clock
+	h.keeper.Leader, h.keeper.Log, h.keeper.Refuses = h.front, h.log, refuses
+	h.runners = directory{log: h.log, current: h.front.Current}
+	return h
+}
+
+// begin makes the lead of a term.
+func (h *Host) begin(t tenure.Term) *lead.Lead {
+	s := cell.Settings{Lease: h.settings.Lease, Grace: h.settings.Stop, Keep: h.settings.StatusMS + 30*time.Second}
+	l := lead.New(t, CellName, s, h.orders, h.store, h.clock, h.log, h.gauge)
+	l.Post(cell.ListMessage{Listings: h.runners.listings()})
+	return l
+}
+
+// dial connects to another instance.
+func dial(ctx context.Context, addr string) (net.Conn, error) {
+	d := &net.Dialer{Timeout: 300 * time.Millisecond, Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, 800)
+		})
+	}}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// refuses reports whether nothing listens at addr.
+func refuses(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, refuseTime)
+	defer cancel()
+	conn, err := dial(ctx, addr)
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// Run serves until ctx ends or the process is told to stop.
+func (h *Host) Run(ctx context.Context) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ctx, cancel := context.WithCancel(ctx)
+	var duties sync.WaitGroup
+	defer duties.Wait()
+	defer cancel()
+	duties.Go(func() { h.ring.Run(ctx) })
+	_ = h.log.Log("event", "start", "node", h.settings.Node, "zone", h.settings.Zone, "front", h.settings.Front,
+		"life", h.front.Self.Life)
+	servers, err := h.serve(ctx, &duties)
+	if err != nil {
+		return err
+	}
+	h.follow(ctx, &duties)
+	duties.Go(func() { h.front.Run(ctx) })
+	duties.Go(func() { h.keeper.Run(ctx) })
+	for {
+		select {
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				h.reload()
+				continue
+			}
+			h.stop(servers)
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// reload reads the settings file again. All that is used of it holds for the life of
+// the process.
+func (h *Host) reload() {
+	_, err := platform.Load(os.Getenv(platform.Variable))
+	_ = h.log.Log("event", "reload", "err", err)
+}
+
+// serve starts the servers.
+func (h *Host) serve(ctx context.Context, duties *sync.WaitGroup) ([]*khttp.Server, error) {
+	ready := khttp.NewServer(khttp.Address(h.settings.Ready), khttp.Timeout(0))
+	ready.HandlePrefix("/", http.HandlerFunc(h.ready))
+	ingress := khttp.NewServer(khttp.Address(h.settings.Front), khttp.Timeout(0))
+	ingress.HandlePrefix("/", &platform.Ingress{Desk: h.front, Configs: &h.configs, Leaving: h.leaving.Load})
+	ingress.ReadHeaderTimeout = 5 * time.Second
+	ingress.IdleTimeout = time.Minute
+	metrics := khttp.NewServer(khttp.Address(net.JoinHostPort(h.settings.IP, metricsPort)), khttp.Timeout(0))
+	metrics.Handle("/metrics", h.gauge.handler())
+	servers := []*khttp.Server{ingress, ready, metrics}
+	for _, s := range servers {
+		if _, err := s.Endpoint(); err != nil {
+			return nil, errors.Trace(err)
+		}
+		duties.Go(func() { _ = s.Start(context.WithoutCancel(ctx)) })
+	}
+	peers := &peer.Server{Addr: h.front.Self.Addr, Clock: h.client.Clock, Calls: peerCalls, Drain: 100 * time.Millisecond}
+	h.front.Mount(peers)
+	duties.Go(func() {
+		if err := peers.Run(ctx); err != nil {
+			_ = h.log.Log("event", "peers", "err", err)
+		}
+	})
+	return servers, nil
+}
+
+// follow follows the rows of the operator and of the runners.
+func (h *Host) follow(ctx context.Context, duties *sync.WaitGroup) {
+	configs := &mirror.Mirror{Store: h.store, Prefix: platform.ConfigPrefix, Take: h.configure, Fail: h.missed("config")}
+	runners := &mirror.Mirror{Store: h.store, Prefix: platform.RunnerPrefix, Take: h.runners.take, Fail: h.missed("runners")}
+	duties.Go(func() { configs.Run(ctx) })
+	duties.Go(func() { runners.Run(ctx) })
+}
+
+func (h *Host) missed(what string) func(error) {
+	return func(err error) {
+		h.gauge.Count("missed_"+what, 1)
+		_ = h.log.Log("event", "missed", "what", what, "err", err)
+	}
+}
+
+// configure takes rows of the operator.
+func (h *Host) configure(rows []table.Row, _ bool) {
+	for _, r := range rows {
+		if r.Key != platform.ConfigKey || r.Version == 0 {
+			continue
+		}
+		c, err := platform.DecodeConfig(r.Value)
+		if err != nil {
+			_ = h.log.Log("event", "badconfig", "version", r.Version, "err", err)
+			continue
+		}
+		if h.configs.Set(c) {
+			_ = h.log.Log("event", "config", "version", c.Version, "routes", len(c.Routes))
+		}
+	}
+}
+
+// ready answers whether clients should be sent here.
+func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
+	if h.leaving.Load() || h.configs.Get() == nil || !h.front.Connected() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// stop hands the cell over, lets clients go elsewhere and finishes what they have
+// asked.
+func (h *Host) stop(servers []*khttp.Server) {
+	began := time.Now()
+	h.leaving.Store(true)
+	h.keeper.Retire()
+	_ = h.log.Log("event", "stop")
+	h.handOver()
+	time.Sleep(noticeTime - time.Since(began))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(h.settings.Grace-lastMargin))
+	defer cancel()
+	for _, s := range servers {
+		_ = s.Stop(ctx)
+	}
+	_ = h.log.Log("event", "stopped", "took", time.Since(began))
+}
+
+// handOver gives the cell to another instance, with no write or start left open.
+func (h *Host) handOver() {
+	l := h.front.Current()
+	if l == nil {
+		return
+	}
+	to, ok := h.front.Successor()
+	if !ok {
+		_ = h.log.Log("event", "nosuccessor")
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handTime)
+	defer cancel()
+	l.Rest()
+	for !l.Idle() && ctx.Err() == nil {
+		time.Sleep(3 * time.Millisecond)
+	}
+	for ctx.Err() == nil && !h.keeper.Resign(ctx, to) {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/gypsumward/main.go
+++ b/gypsumward/main.go
@@ -9,11 +9,13 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/go-kratos/kratos/v2"
+	kratoslog "github.com/go-kratos/kratos/v2/log"
 	"github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/jonboulle/clockwork"
 
@@ -23,8 +25,10 @@
 	"gypsumward/gypsumward/config"
 	"gypsumward/gypsumward/count"
 	"gypsumward/gypsumward/guard"
+	"gypsumward/gypsumward/hosted"
 	"gypsumward/gypsumward/node"
 	"gypsumward/gypsumward/server"
+	"gypsumward/platform"
 )
 
 // Exit codes.
@@ -35,8 +39,10 @@
 
 const usage = `Usage: gypsumward -settings FILE
        gypsumward -check FILE
+       gypsumward -platform
 
-Runs an entry instance, or only checks its settings.
+Runs an entry instance, or only checks its settings. With -platform it runs on the
+users' platform, with the settings file that the environment names.
 Exit codes: 0 ended as asked, 1 could not run, 2 bad arguments or settings.
 
 `
@@ -44,11 +50,15 @@
 func main() {
 	settings := flag.String("settings", "", "run with the settings in `FILE`")
 	check := flag.String("check", "", "only check the settings in `FILE`")
+	hostedByPlatform := flag.Bool("platform", false, "run on the users' platform")
 	flag.Usage = func() {
 		_, _ = io.WriteString(flag.CommandLine.Output(), usage)
 		flag.PrintDefaults()
 	}
 	flag.Parse()
+	if *hostedByPlatform {
+		os.Exit(runHosted())
+	}
 	path := *settings
 	if *check != "" {
 		path = *check
@@ -73,6 +83,29 @@
 	}
 }
 
+// runHosted runs an instance on the users' platform and returns the exit code.
+func runHosted() int {
+	s, err := platform.Load(os.Getenv(platform.Variable))
+	if err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "settings: "+err.Error())
+		return exitUsage
+	}
+	debug.SetMemoryLimit(int64(s.Memory) << 20 * memoryPart / 100)
+	debug.SetGCPercent(gcPercent)
+	kratoslog.SetLogger(quiet{})
+	if err := hosted.New(s, os.Stdout).Run(context.Background()); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return 0
+}
+
+// Garbage collection of an instance on the users' platform.
+const (
+	memoryPart = 75  // percent of the memory of the machine
+	gcPercent  = 300 // of the live heap
+)
+
 // load reads the settings file and the key file that it names, if any.
 func load(path string) (*config.Config, *access.File, error) {
 	c, err := config.Load(path)
--- a/standin/table/store.go
+++ b/standin/table/store.go
@@ -67,6 +67,9 @@
 }
 
 func (s *Store) apply(op table.Op) {
+	if op.Check {
+		return
+	}
 	at := sort.SearchStrings(s.keys, op.Key)
 	_, had := s.rows[op.Key]
 	if op.Delete {
