cell, front, tenure: keep jobs through takeovers and go on without the store

Change: such a job is never refused; runners with an unknown run count as full; peers that are answered by the holder do not replace it, which lets it go on while the store is down; the list of runners is polled, by the holder mostly.

--- a/core/cell/admit.go
+++ b/core/cell/admit.go
@@ -12,11 +12,12 @@
 func (c *Cell) refuse(now time.Time, j *job) (reason string, after time.Duration) {
 	chain := j.Chain(func(step int) float64 { return c.expected(j, step) })
 	allowed := j.Queue.Stretch*chain + float64(j.Queue.Target)
-	j.due = now.Add(span(allowed))
+	j.due = j.arrived.Add(span(allowed))
+	if j.inherited || !c.loaded {
+		return "", 0
+	}
 	switch {
-	case !c.loaded || c.resting:
-		return ReasonStart, comeBack
-	case c.storeDown(now) || !now.Before(c.leased):
+	case !j.Transient && (c.storeDown(now) || !now.Before(c.leased)):
 		return ReasonStore, comeBack
 	case !c.roomy(j):
 		return ReasonTasks, comeBack
--- a/core/cell/health.go
+++ b/core/cell/health.go
@@ -135,7 +135,6 @@
 			return
 		}
 	}
-	x.lost = true
 	x.task.tried = append(x.task.tried, x.runner)
 	x.runner.health.failed(now)
 	x.runner.speed.learn(1 / overdue)
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -11,9 +11,10 @@
 
 // The verdicts.
 const (
-	Open     Verdict = iota // it may be stored or not
-	Accepted                // it is stored, or has ended if it is transient
-	Refused                 // it is not stored and never runs
+	Open      Verdict = iota // it may be stored or not
+	Accepted                 // it is stored, or has ended if it is transient
+	Refused                  // it is not stored and never runs
+	Elsewhere                // it was not taken, since the cell is being handed over
 )
 
 // Outcome is the answer to a job handed in.
@@ -28,7 +29,6 @@
 const (
 	ReasonLoad  = "load"  // it could not be done in time
 	ReasonStore = "store" // the store takes no writes
-	ReasonStart = "start" // the cell is being taken over
 	ReasonTasks = "tasks" // no runner is large enough
 )
 
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -70,6 +70,7 @@
 	ends   map[int64]bool
 	runs   map[runKey]*run
 	used   Room
+	strays int // runs without a task
 
 	poll, look int64 // tickets of open holds, that wait and that do not
 	polled     time.Time
@@ -86,7 +87,7 @@
 }
 
 // run is a run of a task that may be alive. Its task is nil if the cell does not
-// know it; it then takes all of the runner.
+// know it; the runner then counts as full.
 type run struct {
 	key      runKey
 	task     *task
@@ -98,7 +99,7 @@
 	seen     time.Time // when percent was last taken
 	percent  float64
 	stopping time.Time // when a stop was sent; zero if none was
-	lost     bool      // it was stopped since it seemed to stand still
+	stray    bool      // its size is not known
 }
 
 // List takes the directory as it is now.
@@ -159,7 +160,11 @@
 	return order.Target{ID: r.ID, Addr: r.Addr}
 }
 
+// free returns the room that is left. None is, while a run of unknown size is there.
 func (r *runner) free() Room {
+	if r.strays > 0 {
+		return Room{}
+	}
 	return r.Room.less(r.used)
 }
 
@@ -413,11 +418,12 @@
 	}
 	r.runs[key] = x
 	if t == nil {
-		x.room = r.free()
+		x.stray = true
+		r.strays++
 	} else {
 		x.room = need(t.spec())
+		r.used = r.used.more(x.room)
 	}
-	r.used = r.used.more(x.room)
 	if t != nil && !t.done && t.run == nil && !t.job.state.Ended() && key.run >= t.last {
 		x.task = t
 		t.run, t.last = x, key.run
@@ -439,6 +445,9 @@
 	}
 	delete(r.runs, x.key)
 	r.used = r.used.less(x.room)
+	if x.stray {
+		r.strays--
+	}
 	t := x.task
 	if t == nil || t.run != x {
 		return
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -12,6 +12,7 @@
 	Job    work.Job `json:"job"`
 	Caller string   `json:"caller"`          // differs between callers that wait
 	Again  bool     `json:"again,omitempty"` // another holder may have had it
+	Age    int64    `json:"age,omitempty"`   // milliseconds since the caller came
 }
 
 // Submit takes a job in. Told is called once, perhaps at once, with what became of
@@ -35,7 +36,11 @@
 		j.waiting = append(j.waiting, waiter{h.Caller, told})
 		return
 	}
-	j := newJob(w, now)
+	if c.resting {
+		told(Outcome{Verdict: Elsewhere})
+		return
+	}
+	j := newJob(w, now.Add(-time.Duration(h.Age)*time.Millisecond))
 	j.inherited = h.Again
 	if reason, after := c.refuse(now, j); reason != "" {
 		c.Counter.Count("refused_"+reason, 1)
@@ -73,7 +78,8 @@
 				c.stop(now, x, "not known")
 				continue
 			}
-			r.used = r.used.less(x.room)
+			x.stray = false
+			r.strays--
 			x.room = need(t.spec())
 			r.used = r.used.more(x.room)
 			x.task, t.run, t.last = t, x, x.key.run
--- a/core/front/front.go
+++ b/core/front/front.go
@@ -36,6 +36,8 @@
 	retryPause = 10 * time.Millisecond
 	helloEvery = 200 * time.Millisecond
 	helloLife  = 700 * time.Millisecond
+	helloLease = 800 * time.Millisecond // for which a greeting counts at the holder
+	peerLife   = 10 * time.Second       // for which a peer that is silent may still become the holder
 	comeBack   = time.Second
 	readTime   = 500 * time.Millisecond
 )
@@ -175,8 +177,37 @@
 	if f.peers == nil {
 		f.peers = map[string]heard{}
 	}
-	f.peers[m.Node] = heard{member: m, at: f.Clock.Now()}
-	return greeting{Leading: f.lead != nil}, nil
+	now := f.Clock.Now()
+	f.peers[m.Node] = heard{member: m, at: now}
+	if f.lead == nil {
+		return greeting{}, nil
+	}
+	if until, ok := f.promised(now); ok {
+		f.lead.Renew(until)
+	}
+	return greeting{Leading: true}, nil
+}
+
+// promised returns until when no peer that was heard lately becomes the holder: each
+// waits for a while after its last answered greeting.
+func (f *Front) promised(now time.Time) (until time.Time, ok bool) {
+	for node, h := range f.peers {
+		if now.Sub(h.at) > peerLife {
+			delete(f.peers, node)
+			continue
+		}
+		if end := h.at.Add(helloLease); !ok || end.Before(until) {
+			until, ok = end, true
+		}
+	}
+	return until, ok && until.After(now)
+}
+
+// Heard returns when the holder last answered a greeting.
+func (f *Front) Heard() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heard
 }
 
 // Run greets the holder until ctx ends. Leads end with it.
@@ -205,7 +236,7 @@
 	limited, cancel := context.WithTimeout(ctx, tryTime)
 	defer cancel()
 	var g greeting
-	if f.Client.Call(limited, h.Addr, methodHello, f.Self, &g) == nil {
+	if f.Client.Call(limited, h.Addr, methodHello, f.Self, &g) == nil && g.Leading {
 		f.mu.Lock()
 		f.heard = f.Clock.Now()
 		f.mu.Unlock()
--- a/core/front/submit.go
+++ b/core/front/submit.go
@@ -21,11 +21,12 @@
 	for {
 		var o cell.Outcome
 		var open bool
+		h.Age = f.Clock.Now().Sub(began).Milliseconds()
 		o, open, err = f.hand(ctx, h)
-		if err == nil && o.Verdict != cell.Open {
+		if err == nil && final(o, h.Again) {
 			return o
 		}
-		h.Again = h.Again || open || err == nil
+		h.Again = h.Again || open || (err == nil && o.Verdict == cell.Open)
 		if ctx.Err() != nil || (!h.Again && f.Clock.Now().Sub(began) > findTime) {
 			break
 		}
@@ -41,6 +42,12 @@
 	return o
 }
 
+// final reports whether o may be told to the caller. A refusal may not if another
+// holder may have run the job.
+func final(o cell.Outcome, again bool) bool {
+	return o.Verdict == cell.Accepted || (o.Verdict == cell.Refused && !again)
+}
+
 // ReasonHolder is the reason of an answer without a holder.
 const ReasonHolder = "holder"
 
--- a/core/tenure/keeper.go
+++ b/core/tenure/keeper.go
@@ -21,6 +21,7 @@
 	DefaultTimeout = 700 * time.Millisecond
 	DefaultWatch   = time.Second
 	DefaultProbe   = 150 * time.Millisecond
+	DefaultHeard   = time.Second
 	step           = 25 * time.Millisecond
 	jitter         = 60 * time.Millisecond
 )
@@ -33,6 +34,7 @@
 	Timeout time.Duration // for a call of the store
 	Watch   time.Duration // for which the store waits for a change
 	Probe   time.Duration // between looks whether the holder listens
+	Heard   time.Duration // after an answer of the holder, for which it is not replaced
 }
 
 func (s Settings) withDefaults() Settings {
@@ -47,6 +49,7 @@
 	set(&s.Timeout, DefaultTimeout)
 	set(&s.Watch, DefaultWatch)
 	set(&s.Probe, DefaultProbe)
+	set(&s.Heard, DefaultHeard)
 	return s
 }
 
@@ -115,6 +118,9 @@
 	Log      log.Logger
 	// Refuses reports whether nothing listens at an address, as opposed to no answer.
 	Refuses func(ctx context.Context, addr string) bool
+	// Heard returns when the holder last answered a greeting of this instance. It is not
+	// replaced for Settings.Heard after that.
+	Heard func() time.Time
 
 	mu      sync.Mutex
 	holder  Holder
@@ -286,10 +292,11 @@
 	probed := time.Time{}
 	for ctx.Err() == nil {
 		pause(ctx, step)
+		heard := k.Heard()
 		now := k.Clock.Now()
 		k.mu.Lock()
 		idle := !k.known || k.leading || k.retired
-		holder, version, stale := k.holder, k.version, k.staleAt(now)
+		holder, version, stale := k.holder, k.version, k.staleAt(now) && now.Sub(heard) > k.Settings.Heard
 		k.mu.Unlock()
 		if idle {
 			continue
--- a/gypsumward/hosted/directory.go
+++ b/gypsumward/hosted/directory.go
@@ -15,6 +15,7 @@
 type directory struct {
 	log     log.Logger
 	current func() *lead.Lead
+	wanted  chan struct{}
 
 	mu   sync.Mutex
 	list map[string]cell.Listing
@@ -48,6 +49,14 @@
 	}
 }
 
+// want asks for the rows to be read at once.
+func (d *directory) want() {
+	select {
+	case d.wanted <- struct{}{}:
+	default:
+	}
+}
+
 func (d *directory) listings() []cell.Listing {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -49,6 +49,9 @@
 	peerBeat    = 300 * time.Millisecond
 	refuseTime  = 250 * time.Millisecond
 	metricsPort = "9464"
+	configWait  = 1500 * time.Millisecond // of the store for a change of the configuration
+	listLeading = 400 * time.Millisecond
+	listIdle    = 5 * time.Second
 )
 
 // Host is one entry instance.
@@ -88,8 +91,8 @@
 		Log: h.log, Begin: h.begin,
 	}
 	h.keeper.Self, h.keeper.Store, h.keeper.Clock = self, h.store, h.clock
-	h.keeper.Leader, h.keeper.Log, h.keeper.Refuses = h.front, h.log, refuses
-	h.runners = directory{log: h.log, current: h.front.Current}
+	h.keeper.Leader, h.keeper.Log, h.keeper.Refuses, h.keeper.Heard = h.front, h.log, refuses, h.front.Heard
+	h.runners = directory{log: h.log, current: h.front.Current, wanted: make(chan struct{}, 1)}
 	return h
 }
 
@@ -98,6 +101,7 @@
 	s := cell.Settings{Lease: h.settings.Lease, Grace: h.settings.Stop, Keep: h.settings.StatusMS + 30*time.Second}
 	l := lead.New(t, CellName, s, h.orders, h.store, h.clock, h.log, h.gauge)
 	l.Post(cell.ListMessage{Listings: h.runners.listings()})
+	h.runners.want()
 	return l
 }
 
@@ -193,12 +197,26 @@
 
 // follow follows the rows of the operator and of the runners.
 func (h *Host) follow(ctx context.Context, duties *sync.WaitGroup) {
-	configs := &mirror.Mirror{Store: h.store, Prefix: platform.ConfigPrefix, Take: h.configure, Fail: h.missed("config")}
-	runners := &mirror.Mirror{Store: h.store, Prefix: platform.RunnerPrefix, Take: h.runners.take, Fail: h.missed("runners")}
+	configs := &mirror.Mirror{
+		Store: h.store, Prefix: platform.ConfigPrefix, Wait: configWait,
+		Take: h.configure, Fail: h.missed("config"),
+	}
+	runners := &mirror.Poll{
+		Store: h.store, Prefix: platform.RunnerPrefix, Now: h.runners.wanted,
+		Every: h.listEvery, Take: h.runners.take, Fail: h.missed("runners"),
+	}
 	duties.Go(func() { configs.Run(ctx) })
 	duties.Go(func() { runners.Run(ctx) })
 }
 
+// listEvery returns the time between readings of the list of runners.
+func (h *Host) listEvery() time.Duration {
+	if h.front.Current() == nil {
+		return listIdle
+	}
+	return listLeading
+}
+
 func (h *Host) missed(what string) func(error) {
 	return func(err error) {
 		h.gauge.Count("missed_"+what, 1)
