cell: place once per batch of messages

Cause: every answer of a runner scored all waiting tasks against all runners. Change: messages only mark the cell, Settle places once; runners without room for the smallest waiting task are left out; the rate of a runner is kept, not computed.

--- a/core/cell/admit.go
+++ b/core/cell/admit.go
@@ -62,7 +62,7 @@
 	}
 	for _, r := range c.runners {
 		if r.listed && r.fenced && !r.Leaving {
-			capacity += float64(r.Room.CPU) * r.speed.factor()
+			capacity += float64(r.Room.CPU) * r.speed.rate
 		}
 	}
 	if capacity == 0 {
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -48,18 +48,21 @@
 	Log      log.Logger
 	Counter  Counter
 
-	jobs    map[string]*job
-	runners map[string]*runner
-	ready   []*job // with tasks to start, by due time
-	ledger  ledger
-	times   times
-	ended   ended
-	tickets int64
+	jobs     map[string]*job
+	runners  map[string]*runner
+	ready    []*job // with tasks to start, by due time
+	ledger   ledger
+	times    times
+	ended    ended
+	tickets  int64
+	scratch  []*runner
+	reported time.Time
 
 	loaded  bool      // the rows have been read
 	safe    bool      // no run of a former holder is left that is not booked
 	safeAt  time.Time // when that is so by time alone
 	deposed bool
+	woken   bool      // Settle has something to do
 	resting bool      // gives no more orders
 	leased  time.Time // until when no other instance can have become the holder
 }
@@ -161,7 +164,23 @@
 		c.tend(r, now)
 	}
 	c.stall(now)
+	c.report(now)
 	c.ended.sweep(now, c.Settings.Keep)
+	c.wake()
+}
+
+// wake asks for Settle.
+func (c *Cell) wake() {
+	c.woken = true
+}
+
+// Settle starts and writes what has become due by the messages before. It is to be
+// called after messages and ticks.
+func (c *Cell) Settle(now time.Time) {
+	if !c.woken || c.deposed {
+		return
+	}
+	c.woken = false
 	c.dispatch(now)
 	c.flush(now)
 }
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"gypsumward/core/order"
@@ -17,22 +18,19 @@
 	if !c.mayStart(now) || len(c.ready) == 0 {
 		return
 	}
-	usable := c.usable(now)
-	if len(usable) == 0 {
-		return
-	}
-	for i := 0; i < len(c.ready); {
+	least := c.leastNeed()
+	usable := c.usable(now, least)
+	for i := 0; i < len(c.ready) && len(usable) > 0; {
 		j := c.ready[i]
 		if j.inherited && !c.safe {
 			i++
 			continue
 		}
-		c.start(now, j, usable)
+		if c.start(now, j, usable) {
+			usable = slices.DeleteFunc(usable, func(r *runner) bool { return r.free().CPU < least })
+		}
 		if j.ready > 0 {
 			i++
-			if !c.anyRoom(usable) {
-				return
-			}
 			continue
 		}
 		j.listed = false
@@ -40,43 +38,33 @@
 	}
 }
 
-// leastTask is the room below which a runner counts as full.
-const leastTask = 100 // thousandths of a core
-
-func (c *Cell) anyRoom(usable []*runner) bool {
-	for _, r := range usable {
-		if r.free().CPU >= leastTask {
-			return true
+// leastNeed returns the least that a waiting task needs, in thousandths of a core.
+func (c *Cell) leastNeed() int {
+	least := work.MaxCPU
+	for _, j := range c.ready {
+		for s := range j.Steps {
+			least = min(least, j.Steps[s].CPU)
 		}
 	}
-	return false
+	return max(least, 1)
 }
 
-// usable returns the runners that may be given work.
-func (c *Cell) usable(now time.Time) []*runner {
-	var list []*runner
+// usable returns the runners that may be given work and have room for least.
+func (c *Cell) usable(now time.Time, least int) []*runner {
+	list := c.scratch[:0]
 	for _, r := range c.runners {
-		if r.listed && !r.Leaving && r.fenced && !r.health.resting(now) && !r.silent(now, c.answerTime(r)) && r.free().CPU > 0 {
+		if r.free().CPU >= least && r.listed && !r.Leaving && r.fenced && !r.health.resting(now) && !r.silent(now, c.answerTime(r)) {
 			list = append(list, r)
 		}
 	}
-	slices.SortFunc(list, func(a, b *runner) int {
-		if a.speed.log != b.speed.log {
-			if a.speed.log > b.speed.log {
-				return -1
-			}
-			return 1
-		}
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b *runner) int { return strings.Compare(a.ID, b.ID) })
+	c.scratch = list
 	return list
 }
 
-// start starts the tasks of j that fit.
-func (c *Cell) start(now time.Time, j *job, usable []*runner) {
+// start starts the tasks of j that fit. It reports whether it started one.
+func (c *Cell) start(now time.Time, j *job, usable []*runner) bool {
+	started := false
 	for s := range j.tasks {
 		for _, t := range j.tasks[s] {
 			if !t.ready {
@@ -87,8 +75,10 @@
 				break
 			}
 			c.order(now, t, r)
+			started = true
 		}
 	}
+	return started
 }
 
 // choose returns the runner for t, or nil if it fits nowhere: the slowest of those
@@ -115,7 +105,7 @@
 const safety = 1.3
 
 func (c *Cell) score(t *task, r *runner, n Room, expected, left float64) float64 {
-	f := r.speed.factor()
+	f := r.speed.rate
 	score := f
 	if expected/f*safety <= left {
 		score = 10 - f
@@ -176,7 +166,7 @@
 	}
 	c.Counter.Count("starts", 1)
 	c.log("event", "start", "job", t.job.ID, "task", t.index, "run", t.last, "runner", r.ID, "waited", now.Sub(t.job.arrived),
-		"left", t.job.due.Sub(now), "speed", r.speed.factor(), "free", r.free().CPU)
+		"left", t.job.due.Sub(now), "speed", r.speed.rate, "free", r.free().CPU)
 	c.Orders.Start(r.target(), order.Start{
 		Task: x.key.task, Run: x.key.run, Spec: t.job.Spec, Deadline: deadline, Token: r.token,
 	})
@@ -220,5 +210,5 @@
 		return
 	}
 	c.release(now, x)
-	c.dispatch(now)
+	c.wake()
 }
--- a/core/cell/health.go
+++ b/core/cell/health.go
@@ -50,8 +50,9 @@
 
 // speed is the learned speed of a runner against the estimates of what it ran.
 type speed struct {
-	log float64 // mean of the logarithm
-	n   float64
+	log  float64 // mean of the logarithm
+	rate float64 // how much work is done in a unit of time
+	n    float64
 }
 
 // Weights of learning.
@@ -63,11 +64,7 @@
 func (s *speed) learn(ratio float64) {
 	s.n = min(s.n+1, speedWindow)
 	s.log += (math.Log(ratio) - s.log) / (s.n + speedPrior)
-}
-
-// factor is how much work is done in a unit of time.
-func (s *speed) factor() float64 {
-	return math.Exp(s.log)
+	s.rate = math.Exp(s.log)
 }
 
 // queueTimes is what is learned of the tasks of a queue: how long they take on a
@@ -108,7 +105,7 @@
 		c.times.queues[j.Queue.Name] = q
 	}
 	q.n = min(q.n+1, timesWindow)
-	q.mean += (took*x.runner.speed.factor() - q.mean) / q.n
+	q.mean += (took*x.runner.speed.rate - q.mean) / q.n
 	c.Counter.Took("run", now.Sub(x.answered))
 }
 
@@ -124,7 +121,7 @@
 		return
 	}
 	took := now.Sub(x.answered)
-	expected := span(c.expected(x.task.job, x.task.step) / x.runner.speed.factor())
+	expected := span(c.expected(x.task.job, x.task.step) / x.runner.speed.rate)
 	if took < time.Duration(overdue*float64(expected))+overdueLess {
 		return
 	}
--- a/core/cell/ledger.go
+++ b/core/cell/ledger.go
@@ -270,8 +270,7 @@
 		f.changes, f.open, f.pause = left, false, firstPause
 		c.send(now, f)
 	}
-	c.dispatch(now)
-	c.flush(now)
+	c.wake()
 }
 
 // failed takes a write that was not answered, or that was refused.
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -36,7 +36,7 @@
 	for _, r := range c.runners {
 		c.fence(now, r)
 	}
-	c.flush(now)
+	c.wake()
 }
 
 const loadedTwice = "cell: rows loaded twice"
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -119,13 +119,13 @@
 		}
 		r.listed = false
 	}
-	c.dispatch(now)
+	c.wake()
 }
 
 func (c *Cell) enter(now time.Time, l Listing) {
 	r := c.runners[l.ID]
 	if r == nil {
-		r = &runner{since: now, ends: map[int64]bool{}, runs: map[runKey]*run{}}
+		r = &runner{since: now, speed: speed{rate: 1}, ends: map[int64]bool{}, runs: map[runKey]*run{}}
 		r.Listing = l
 		c.runners[l.ID] = r
 		c.log("event", "runner", "runner", l.ID, "state", "listed", "service", l.Service, "zone", l.Zone,
@@ -278,7 +278,7 @@
 	for _, x := range r.runs {
 		c.release(now, x)
 	}
-	c.dispatch(now)
+	c.wake()
 }
 
 // Held takes the answer to a hold.
@@ -322,8 +322,7 @@
 		c.observe(now, r, h.Active)
 	}
 	c.tend(r, now)
-	c.dispatch(now)
-	c.flush(now)
+	c.wake()
 }
 
 // take notes what the clock of a runner showed.
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -59,11 +59,11 @@
 	c.claimStrays(now, j)
 	if w.Transient {
 		c.accept(now, j)
-		c.dispatch(now)
+		c.wake()
 		return
 	}
 	c.touch(j)
-	c.flush(now)
+	c.wake()
 }
 
 // claimStrays gives j the runs of its tasks that were found at runners.
@@ -99,7 +99,7 @@
 	if j.Transient && len(j.waiting) == 0 && !j.state.Ended() {
 		c.log("event", "left", "job", id, "caller", caller, "begun", j.begun())
 		c.finish(now, j, work.Cancelled)
-		c.dispatch(now)
+		c.wake()
 	}
 }
 
@@ -173,7 +173,7 @@
 	if j.row.stored {
 		c.finish(now, j, work.Cancelled)
 	}
-	c.flush(now)
+	c.wake()
 }
 
 // finish ends a job and stops what runs of it.
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -96,10 +96,12 @@
 			l.drain()
 		case <-ticker.C:
 			l.cell.Tick(l.Clock.Now())
+			l.publish()
 		case <-ctx.Done():
 			l.cell.Depose(l.Clock.Now(), "the term is over")
 		}
-		l.publish()
+		l.cell.Settle(l.Clock.Now())
+		l.idle.Store(l.cell.Idle())
 	}
 }
 
@@ -120,7 +122,6 @@
 	answering, listed := l.cell.Reach(l.Clock.Now())
 	l.reach.Store(int64(answering))
 	l.listed.Store(int64(listed))
-	l.idle.Store(l.cell.Idle())
 }
 
 // Post hands a message to the cell. It returns false if the term is over.
