cell: acknowledge ends from the first one listed after a takeover

Cause: a new holder counted acknowledged ends from zero, while a runner lists only those that the former holder had not acknowledged. No end was acknowledged any more, each answer carried up to 500 old ones, and the holder's allocation grew from 26 to 160 MB/s within 25 s until its share of the processor was used up.

Ruled out: placing (8% of a profile over fake runners), writes, logs. A run without processor time showed no queue at all.

Change: the first list of a life tells what was acknowledged before.

--- a/core/cell/ends.go
+++ b/core/cell/ends.go
@@ -9,6 +9,10 @@
 
 // ends takes the ends that a runner lists.
 func (c *Cell) ends(now time.Time, r *runner, list []order.End) {
+	if len(list) > 0 && !r.based {
+		r.based = true
+		r.acked = max(r.acked, list[0].N-1) // a former holder has acknowledged those before
+	}
 	for _, e := range list {
 		if e.N <= r.acked {
 			continue
@@ -17,7 +21,6 @@
 			continue
 		}
 		r.ends[e.N] = false
-		r.top = max(r.top, e.N)
 		c.end(now, r, e)
 	}
 	r.advance()
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -66,7 +66,7 @@
 	asked  time.Time // when the oldest order without answer was given; zero if none is
 	until  int64     // highest deadline in any order
 	acked  int64
-	top    int64 // highest end that was taken in
+	based  bool // acked is that of the first end listed in this life, or above
 	ends   map[int64]bool
 	runs   map[runKey]*run
 	used   Room
@@ -360,7 +360,7 @@
 func (c *Cell) reborn(now time.Time, r *runner, h order.Held) {
 	c.log("event", "runner", "runner", r.ID, "state", "restarted", "born", h.Born, "runs", len(r.runs))
 	r.life = h.Born
-	r.clock, r.until, r.acked, r.top = h.Clock, 0, 0, 0
+	r.clock, r.until, r.acked, r.based = h.Clock, 0, 0, false
 	r.seen = now
 	r.ends = map[int64]bool{}
 	r.health = health{}
