cell: store ends at once and let questions wait for an end that is near

Change: progress goes into the next write; holds pause for 12 ms while ends are open; a question for a job whose tasks all run waits up to 45 ms for its end.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 GO ?= go
 LINT_VERSION := v2.15.0
 GOBIN := $(CURDIR)/bin
-MODULES := core gypsumward gypsumctl standin
+MODULES := core platform gypsumward gypsumctl standin
 PROGRAMS := gypsumward gypsumctl standin
 LINT := $(shell $(GO) env GOPATH)/bin/golangci-lint
 
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -104,6 +104,7 @@
 	for _, j := range c.jobs {
 		j.tell(Outcome{Verdict: Open})
 		j.tellCancel(work.Unknown, false)
+		j.tellAsked(work.Unknown)
 	}
 }
 
@@ -160,6 +161,9 @@
 		return
 	}
 	c.settleInheritance(now)
+	for _, j := range c.jobs {
+		j.answerLate(now)
+	}
 	for _, r := range c.runners {
 		c.tend(r, now)
 	}
@@ -200,7 +204,7 @@
 			all = false
 		}
 	}
-	if now.Before(c.safeAt) && !(all && fenced >= c.Tenure.Runners && fenced > 0) {
+	if now.Before(c.safeAt) && (!all || fenced == 0 || fenced < c.Tenure.Runners) {
 		return
 	}
 	c.safe = true
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -209,6 +209,6 @@
 		c.fence(now, x.runner) // the list tells whether it runs
 		return
 	}
-	c.release(now, x)
+	c.release(x)
 	c.wake()
 }
--- a/core/cell/ends.go
+++ b/core/cell/ends.go
@@ -61,7 +61,7 @@
 	}
 	switch {
 	case t == nil || j.state.Ended():
-		c.drop(now, x, ref)
+		c.drop(x, ref)
 	case e.How == order.Finished:
 		c.done(now, t, x, e, ref)
 	case e.How == order.Failed:
@@ -71,14 +71,14 @@
 			c.log("event", "interrupted", "runner", r.ID, "job", e.Task.Job, "task", e.Task.Index, "run", e.Run, "how", string(e.How))
 		}
 		t.last = max(t.last, e.Run)
-		c.drop(now, x, ref)
+		c.drop(x, ref)
 	}
 }
 
 // drop takes an end that changes no job.
-func (c *Cell) drop(now time.Time, x *run, ref endRef) {
+func (c *Cell) drop(x *run, ref endRef) {
 	if x != nil {
-		c.release(now, x)
+		c.release(x)
 	}
 	ref.settle()
 }
@@ -87,16 +87,16 @@
 // counts as long as the task has not been started again.
 func (c *Cell) done(now time.Time, t *task, x *run, e order.End, ref endRef) {
 	if t.done || e.Run < t.last {
-		c.drop(now, x, ref)
+		c.drop(x, ref)
 		return
 	}
 	j := t.job
 	t.last, t.done = e.Run, true
 	if x != nil {
-		c.release(now, x)
+		c.release(x)
 	}
 	j.open[t.step]--
-	j.hold(now, ref)
+	c.hold(j, ref)
 	j.refresh()
 	c.enlist(j)
 	if j.complete() {
@@ -107,7 +107,7 @@
 // fail takes the end of a run that failed.
 func (c *Cell) fail(now time.Time, t *task, x *run, e order.End, ref endRef) {
 	if t.done || e.Run < t.last || e.Run <= t.bad {
-		c.drop(now, x, ref)
+		c.drop(x, ref)
 		return
 	}
 	j := t.job
@@ -119,44 +119,28 @@
 	t.tried = append(t.tried, r)
 	c.log("event", "fail", "job", j.ID, "task", t.index, "run", e.Run, "runner", r.ID, "fails", t.fails, "of", j.Queue.Attempts)
 	if x != nil {
-		c.release(now, x)
+		c.release(x)
 	}
-	j.hold(now, ref)
+	c.hold(j, ref)
 	if t.fails >= max(j.Queue.Attempts, 1) {
 		c.finish(now, j, "failed")
 		return
 	}
-	if !j.Transient {
-		j.row.wanted = true
-		c.touch(j)
-	}
 }
 
 // hold keeps an end from being acknowledged until the rows hold what follows from it.
-func (j *job) hold(now time.Time, ref endRef) {
+func (c *Cell) hold(j *job, ref endRef) {
 	if j.Transient {
 		ref.settle()
 		return
 	}
 	j.unsettled = append(j.unsettled, ref)
-	if len(j.unsettled) == 1 {
-		j.oldest = now
-	}
+	j.row.wanted = true
+	c.touch(j)
 }
 
-// progressAge is how long an end may wait for that of its job.
-const progressAge = 500 * time.Millisecond
-
-// stall stores what is done of jobs whose oldest end is not stored for long, and
-// stops runs that stand still.
+// stall stops runs that stand still.
 func (c *Cell) stall(now time.Time) {
-	for _, j := range c.jobs {
-		if len(j.unsettled) > 0 && !j.state.Ended() && now.Sub(j.oldest) > progressAge && !j.row.wanted {
-			j.row.wanted = true
-			j.oldest = now
-			c.touch(j)
-		}
-	}
 	for _, r := range c.runners {
 		for _, x := range r.runs {
 			c.watch(now, x)
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -46,12 +46,12 @@
 	row     jobRow
 
 	unsettled []endRef // ends that the rows do not hold yet
-	oldest    time.Time
 
 	inherited bool
 	listed    bool // in Cell.ready
 	waiting   []waiter
 	cancels   []func(work.State, bool)
+	asked     []question // that wait for the end
 }
 
 // waiter is a caller that waits for what becomes of a job.
@@ -169,6 +169,31 @@
 	j.waiting = nil
 }
 
+// tellAsked answers the questions that wait for the end.
+func (j *job) tellAsked(state work.State) {
+	for _, q := range j.asked {
+		q.told(state)
+	}
+	j.asked = nil
+}
+
+// question is a question for the state of a job.
+type question struct {
+	at   time.Time
+	told func(work.State)
+}
+
+// questionTime is how long a question waits for the end of a job.
+const questionTime = 45 * time.Millisecond
+
+// answerLate answers the questions that have waited for long.
+func (j *job) answerLate(now time.Time) {
+	for len(j.asked) > 0 && now.Sub(j.asked[0].at) >= questionTime && !j.state.Ended() {
+		j.asked[0].told(work.Running)
+		j.asked = j.asked[1:]
+	}
+}
+
 func (j *job) tellCancel(state work.State, stored bool) {
 	for _, w := range j.cancels {
 		w(state, stored)
--- a/core/cell/ledger.go
+++ b/core/cell/ledger.go
@@ -71,11 +71,10 @@
 
 // change is what one transaction writes of one job.
 type change struct {
-	job     *job
-	ops     []table.Op
-	ends    int  // of job.unsettled, that the rows then hold
-	final   bool // it ends the job
-	settled bool
+	job   *job
+	ops   []table.Op
+	ends  int  // of job.unsettled, that the rows then hold
+	final bool // it ends the job
 }
 
 // flight is a transaction that is open.
@@ -326,7 +325,6 @@
 		e.settle()
 	}
 	j.unsettled = append([]endRef(nil), j.unsettled[ch.ends:]...)
-	j.oldest = now
 	switch {
 	case ch.final:
 		c.close(now, j)
@@ -407,6 +405,7 @@
 		"late", now.After(j.due), "fails", j.failed)
 	j.tell(Outcome{Verdict: Accepted, State: j.state})
 	j.tellCancel(j.state, true)
+	j.tellAsked(j.state)
 }
 
 // running reports whether a run of j may be alive.
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -47,6 +47,7 @@
 	leaseMargin = 30 * time.Millisecond // below the lease that a runner grants
 	firstAnswer = 60 * time.Millisecond // for the answer to an order, at least
 	probePause  = 300 * time.Millisecond
+	pollPause   = 12 * time.Millisecond  // between holds while ends are not acknowledged
 	strayTime   = 600 * time.Millisecond // for a caller to hand in again the job of a run that was found
 	driftPart   = 40                     // a runner's clock may be slower by one part of these
 )
@@ -75,7 +76,6 @@
 	poll, look int64 // tickets of open holds, that wait and that do not
 	polled     time.Time
 	looked     time.Time
-	lookWait   time.Duration
 	next       time.Time // of the next probe
 	health     health
 	speed      speed
@@ -233,7 +233,7 @@
 	if r.look == 0 && len(r.runs) > 0 && time.Duration(r.until-r.estimate(now))*time.Millisecond < c.Settings.Lease*9/20 {
 		c.probe(now, r, 0)
 	}
-	if r.poll == 0 && !c.resting {
+	if r.poll == 0 && !c.resting && c.mayPoll(now, r) {
 		wait := c.Settings.Idle
 		if len(r.runs) > 0 {
 			wait = c.Settings.Wait
@@ -244,6 +244,12 @@
 	c.giveUp(now, r)
 }
 
+// mayPoll reports whether a hold that waits would do so. While ends are not
+// acknowledged a runner answers at once.
+func (c *Cell) mayPoll(now time.Time, r *runner) bool {
+	return len(r.ends) == 0 || now.Sub(r.polled) >= pollPause
+}
+
 // answerTime is how long an order may be without answer.
 func (c *Cell) answerTime(r *runner) time.Duration {
 	return max(firstAnswer, 4*r.health.answer)
@@ -276,7 +282,7 @@
 	}
 	c.log("event", "runner", "runner", r.ID, "state", "lost", "runs", len(r.runs), "silent", now.Sub(r.asked))
 	for _, x := range r.runs {
-		c.release(now, x)
+		c.release(x)
 	}
 	c.wake()
 }
@@ -379,7 +385,7 @@
 		if !listed[key] {
 			c.log("event", "vanished", "runner", r.ID, "job", key.task.Job, "task", key.task.Index, "run", key.run,
 				"answered", !x.answered.IsZero())
-			c.release(now, x)
+			c.release(x)
 		}
 	}
 	c.observe(now, r, active)
@@ -437,7 +443,7 @@
 }
 
 // release takes a run that is certainly over off the books.
-func (c *Cell) release(now time.Time, x *run) {
+func (c *Cell) release(x *run) {
 	r := x.runner
 	if r.runs[x.key] != x {
 		return
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -127,20 +127,24 @@
 	c.ready = slices.Insert(c.ready, at, j)
 }
 
-// State returns the state of a job as it is stored. Known is false if the cell knows
-// nothing of it, which does not mean that there is no such job.
-func (c *Cell) State(id string) (state work.State, known bool) {
-	if f, ok := c.ended.jobs[id]; ok {
-		return f.state, true
-	}
+// State tells the state of a job as it is stored, Unknown if the cell knows nothing of
+// it, which does not mean that there is no such job. The answer waits a little for the
+// end of a job of which all tasks have been started, and for an end to be stored.
+func (c *Cell) State(now time.Time, id string, told func(work.State)) {
 	j := c.jobs[id]
-	if j == nil || !j.row.stored {
-		return work.Unknown, false
-	}
-	if j.begun() {
-		return work.Running, true
+	f, ok := c.ended.jobs[id]
+	switch {
+	case ok:
+		told(f.state)
+	case j == nil || !j.row.stored:
+		told(work.Unknown)
+	case j.state.Ended() || (j.begun() && j.ready == 0):
+		j.asked = append(j.asked, question{at: now, told: told})
+	case j.begun():
+		told(work.Running)
+	default:
+		told(work.Queued)
 	}
-	return work.Queued, true
 }
 
 // Pending returns the number of accepted jobs of a queue of which no task has
--- a/core/front/front.go
+++ b/core/front/front.go
@@ -335,19 +335,16 @@
 
 // repeat tries until it succeeds, for as long as ctx lasts once a try is open, and
 // for findTime before.
-func (f *Front) repeat(ctx context.Context, method string, params, result any, do func(context.Context, *lead.Lead) error) (open bool, err error) {
+func (f *Front) repeat(ctx context.Context, method string, params, result any, do func(context.Context, *lead.Lead) error) error {
 	began := f.Clock.Now()
+	open := false
 	for {
-		var o bool
 		limited, cancel := context.WithTimeout(ctx, tryTime)
-		o, err = f.try(limited, method, params, result, do)
+		again, err := f.try(limited, method, params, result, do)
 		cancel()
-		open = open || o
-		if err == nil {
-			return false, nil
-		}
-		if ctx.Err() != nil || (!open && f.Clock.Now().Sub(began) > findTime) {
-			return open, err
+		open = open || again
+		if err == nil || ctx.Err() != nil || (!open && f.Clock.Now().Sub(began) > findTime) {
+			return err
 		}
 		f.pause(ctx)
 	}
@@ -367,7 +364,7 @@
 // Cancel ends a job. Known is false if there is no such job.
 func (f *Front) Cancel(ctx context.Context, id string) (state work.State, known bool, err error) {
 	var v lead.Cancelled
-	_, err = f.repeat(ctx, methodCancel, question{id}, &v, func(ctx context.Context, l *lead.Lead) error {
+	err = f.repeat(ctx, methodCancel, question{id}, &v, func(ctx context.Context, l *lead.Lead) error {
 		var err error
 		v, err = l.Cancel(ctx, id)
 		return err
@@ -387,7 +384,7 @@
 // State returns the state of a job. Known is false if there is no such job.
 func (f *Front) State(ctx context.Context, id string) (state work.State, known bool, err error) {
 	var v told
-	_, err = f.repeat(ctx, methodState, question{id}, &v, func(ctx context.Context, l *lead.Lead) error {
+	err = f.repeat(ctx, methodState, question{id}, &v, func(ctx context.Context, l *lead.Lead) error {
 		var err error
 		v.State, err = l.State(ctx, id)
 		return err
@@ -424,7 +421,7 @@
 // Pending returns the number of jobs of a queue of which no task has started.
 func (f *Front) Pending(ctx context.Context, queue string) (int, error) {
 	var v told
-	_, err := f.repeat(ctx, methodPending, question{queue}, &v, func(ctx context.Context, l *lead.Lead) error {
+	err := f.repeat(ctx, methodPending, question{queue}, &v, func(ctx context.Context, l *lead.Lead) error {
 		var err error
 		v.Count, err = l.Pending(ctx, queue)
 		return err
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -71,8 +71,10 @@
 
 // New returns a lead of a term.
 func New(t tenure.Term, name string, s cell.Settings, r Runners, st Store, clock Clock, logger log.Logger, counter cell.Counter) *Lead {
-	l := &Lead{Term: t, Runners: r, Store: st, Clock: clock,
-		messages: make(chan cell.Message, queueSize), over: make(chan struct{})}
+	l := &Lead{
+		Term: t, Runners: r, Store: st, Clock: clock,
+		messages: make(chan cell.Message, queueSize), over: make(chan struct{}),
+	}
 	l.cell = cell.New(cell.Tenure{Name: name, Epoch: t.Epoch, Round: t.Round, Runners: t.Runners}, s, clock.Now())
 	l.cell.Log, l.cell.Counter = logger, counter
 	l.cell.Orders, l.cell.Store = orders{l}, writes{l}
@@ -268,9 +270,8 @@
 	told chan work.State
 }
 
-func (m stateMessage) Apply(c *cell.Cell, _ time.Time) {
-	s, _ := c.State(m.id)
-	m.told <- s
+func (m stateMessage) Apply(c *cell.Cell, now time.Time) {
+	c.State(now, m.id, func(s work.State) { m.told <- s })
 }
 
 // Pending returns the number of jobs of a queue of which no task has started.
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -98,7 +98,7 @@
 
 // begin makes the lead of a term.
 func (h *Host) begin(t tenure.Term) *lead.Lead {
-	s := cell.Settings{Lease: h.settings.Lease, Grace: h.settings.Stop, Keep: h.settings.StatusMS + 30*time.Second}
+	s := cell.Settings{Lease: h.settings.Lease, Grace: h.settings.Stop, Keep: h.settings.Status + 30*time.Second}
 	l := lead.New(t, CellName, s, h.orders, h.store, h.clock, h.log, h.gauge)
 	l.Post(cell.ListMessage{Listings: h.runners.listings()})
 	h.runners.want()
