cell: a job handed in again is the same job; lists wait for the rows

Ruled out: run numbers and fences (each repeated run had a rising number and the token of the one holder).

--- a/core/cell/ledger.go
+++ b/core/cell/ledger.go
@@ -24,8 +24,8 @@
 	BeatRow   = "beat"
 )
 
-// maxEntries is how many operations a transaction takes from jobs; one more checks
-// the holder.
+// maxEntries is how many conditions and changes a transaction takes from jobs; one
+// more is for the holder.
 const maxEntries = table.MaxOps - 2
 
 // maxBytes is how many bytes of values a transaction takes.
@@ -148,12 +148,12 @@
 			j.row.dirty = false
 			continue
 		}
-		n := weigh(ch.ops)
-		if len(f.changes) > 0 && (entries+len(ch.ops) > maxEntries || size+n > maxBytes) {
+		n, m := weigh(ch.ops)
+		if len(f.changes) > 0 && (entries+m > maxEntries || size+n > maxBytes) {
 			kept = append(kept, c.ledger.dirty[i:]...)
 			break
 		}
-		entries += len(ch.ops)
+		entries += m
 		size += n
 		j.row.dirty, j.row.open, j.row.wanted = false, true, false
 		f.changes = append(f.changes, ch)
@@ -166,12 +166,19 @@
 	return f
 }
 
-func weigh(ops []table.Op) int {
-	n := 0
+// weigh returns the bytes of the values of ops, and how many conditions and changes
+// they are.
+func weigh(ops []table.Op) (size, entries int) {
 	for i := range ops {
-		n += len(ops[i].Value)
+		size += len(ops[i].Value)
+		if ops[i].If != table.Any {
+			entries++
+		}
+		if !ops[i].Check {
+			entries++
+		}
 	}
-	return n
+	return size, entries
 }
 
 // change returns what is to be written of j now, or nil if nothing is.
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -201,7 +201,7 @@
 func (c *Cell) probe(now time.Time, r *runner, wait time.Duration) {
 	c.tickets++
 	h := order.Hold{Token: r.token, Acked: r.acked, Wait: wait}
-	if len(r.runs) > 0 || wait > 0 {
+	if len(r.runs) > 0 || wait > 0 || !c.loaded {
 		h.Deadline = c.deadline(now, r)
 		r.until = max(r.until, h.Deadline)
 	}
@@ -227,6 +227,9 @@
 		c.probe(now, r, 0)
 	}
 	if !r.fenced {
+		if !c.loaded && r.look == 0 && now.Sub(r.looked) > c.Settings.Lease/4 {
+			c.probe(now, r, 0)
+		}
 		c.giveUp(now, r)
 		return
 	}
@@ -321,6 +324,12 @@
 	if given.Token != r.token {
 		return
 	}
+	if !c.loaded {
+		if given.Deadline == 0 {
+			c.probe(now, r, 0) // what runs there is kept until the rows tell what it is
+		}
+		return
+	}
 	c.ends(now, r, h.Ends)
 	if !r.fenced {
 		c.sync(now, r, h.Active)
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -24,16 +24,12 @@
 		told(Outcome{Verdict: Open})
 		return
 	}
-	if f, ok := c.ended.jobs[w.ID]; ok && f.state != work.Cancelled {
+	if f, ok := c.ended.jobs[w.ID]; ok && (f.state != work.Cancelled || !w.Transient) {
 		told(Outcome{Verdict: Accepted, State: f.state})
 		return
 	}
-	if j := c.jobs[w.ID]; j != nil && !j.state.Ended() {
-		if j.row.stored && !w.Transient {
-			told(Outcome{Verdict: Accepted, State: work.Queued})
-			return
-		}
-		j.waiting = append(j.waiting, waiter{h.Caller, told})
+	if j := c.jobs[w.ID]; j != nil {
+		c.join(j, h.Caller, told)
 		return
 	}
 	if c.resting {
@@ -66,6 +62,18 @@
 	c.wake()
 }
 
+// join lets a caller wait for a job that is known already.
+func (c *Cell) join(j *job, caller string, told func(Outcome)) {
+	switch {
+	case j.Transient && j.state.Ended():
+		told(Outcome{Verdict: Open}) // it was dropped, and what ran of it is being stopped
+	case j.row.stored && !j.Transient:
+		told(Outcome{Verdict: Accepted, State: work.Queued})
+	default:
+		j.waiting = append(j.waiting, waiter{caller, told})
+	}
+}
+
 // claimStrays gives j the runs of its tasks that were found at runners.
 func (c *Cell) claimStrays(now time.Time, j *job) {
 	for _, r := range c.runners {
