--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -57,6 +57,10 @@
 		c.log("event", "badrow", "key", row.Key, "err", err)
 		return
 	}
+	if j := c.jobs[w.ID]; j != nil {
+		c.recall(j, row.Version)
+		return
+	}
 	j := newJob(w, now)
 	j.inherited = true
 	j.row.stored, j.row.job = true, row.Version
@@ -70,6 +74,13 @@
 	c.jobs[j.ID] = j
 }
 
+// recall takes the row of a job that was handed in again before the rows were read.
+func (c *Cell) recall(j *job, version int64) {
+	j.inherited = true
+	j.row.stored, j.row.job = true, version
+	j.tell(Outcome{Verdict: Accepted, State: work.Queued})
+}
+
 // restore takes the row of the progress of a job.
 func (c *Cell) restore(row table.Row) {
 	j := c.jobs[name(row.Key)]
