cell: count failures in any order, renew nothing without tenure, watch for new lives

Change: failures are kept by run; no order extends a lease after the tenure has lapsed; acknowledgements wait for a sign of the life in which a stored job's run was started.

--- a/core/cell/admit.go
+++ b/core/cell/admit.go
@@ -34,7 +34,7 @@
 	for s := range j.Steps {
 		n := need(&j.Steps[s])
 		found := false
-		for _, r := range c.runners {
+		for _, r := range c.sorted {
 			if r.Service == j.Queue.Service && r.Room.fits(n) {
 				found = true
 				break
@@ -60,7 +60,7 @@
 			}
 		}
 	}
-	for _, r := range c.runners {
+	for _, r := range c.sorted {
 		if r.listed && r.fenced && !r.Leaving {
 			capacity += float64(r.Room.CPU) * r.speed.rate
 		}
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -1,7 +1,9 @@
 package cell
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -50,7 +52,8 @@
 
 	jobs     map[string]*job
 	runners  map[string]*runner
-	ready    []*job // with tasks to start, by due time
+	sorted   []*runner // by id
+	ready    []*job    // with tasks to start, by due time
 	ledger   ledger
 	times    times
 	ended    ended
@@ -101,7 +104,8 @@
 	}
 	c.deposed = true
 	c.log("event", "deposed", "why", why, "epoch", c.Tenure.Epoch)
-	for _, j := range c.jobs {
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		j := c.jobs[id]
 		j.tell(Outcome{Verdict: Open})
 		j.tellCancel(work.Unknown, false)
 		j.tellAsked(work.Unknown)
@@ -121,7 +125,7 @@
 // Runners returns the number of runners that orders can be given to.
 func (c *Cell) Runners() int {
 	n := 0
-	for _, r := range c.runners {
+	for _, r := range c.sorted {
 		if r.fenced {
 			n++
 		}
@@ -131,7 +135,7 @@
 
 // Reach returns how many of the listed runners answer, and how many are listed.
 func (c *Cell) Reach(now time.Time) (answering, listed int) {
-	for _, r := range c.runners {
+	for _, r := range c.sorted {
 		if !r.listed {
 			continue
 		}
@@ -164,7 +168,7 @@
 	for _, j := range c.jobs {
 		j.answerLate(now)
 	}
-	for _, r := range c.runners {
+	for _, r := range c.sorted {
 		c.tend(r, now)
 	}
 	c.stall(now)
@@ -197,7 +201,7 @@
 	}
 	fenced := 0
 	all := true
-	for _, r := range c.runners {
+	for _, r := range c.sorted {
 		if r.synced {
 			fenced++
 		} else if r.listed {
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"gypsumward/core/order"
@@ -52,12 +51,11 @@
 // usable returns the runners that may be given work and have room for least.
 func (c *Cell) usable(now time.Time, least int) []*runner {
 	list := c.scratch[:0]
-	for _, r := range c.runners {
+	for _, r := range c.sorted {
 		if r.free().CPU >= least && r.listed && !r.Leaving && r.fenced && !r.health.resting(now) && !r.silent(now, c.answerTime(r)) {
 			list = append(list, r)
 		}
 	}
-	slices.SortFunc(list, func(a, b *runner) int { return strings.Compare(a.ID, b.ID) })
 	c.scratch = list
 	return list
 }
@@ -138,7 +136,7 @@
 	}
 	if s.Spread > 0 {
 		count := 0
-		for _, x := range r.runs {
+		for _, x := range r.all() {
 			if x.key.task.Job == t.job.ID && x.key.task.Step == t.step {
 				count++
 			}
@@ -194,6 +192,9 @@
 	}
 	if v.Verdict == order.Done {
 		x.answered = now
+		if x.task != nil && !x.task.job.Transient {
+			r.ordered = now
+		}
 		r.health.took(now.Sub(x.sent))
 		return
 	}
--- a/core/cell/ends.go
+++ b/core/cell/ends.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gypsumward/core/order"
+	"gypsumward/core/work"
 )
 
 // ends takes the ends that a runner lists.
@@ -100,31 +101,30 @@
 	j.refresh()
 	c.enlist(j)
 	if j.complete() {
-		c.finish(now, j, "succeeded")
+		c.finish(now, j, work.Succeeded)
 	}
 }
 
-// fail takes the end of a run that failed.
+// fail takes the end of a run that failed. Each counts once, also one that is listed
+// after the end of a later run.
 func (c *Cell) fail(now time.Time, t *task, x *run, e order.End, ref endRef) {
-	if t.done || e.Run < t.last || e.Run <= t.bad {
+	if t.done || slices.Contains(t.fails, e.Run) {
 		c.drop(x, ref)
 		return
 	}
-	j := t.job
-	t.last, t.bad = e.Run, e.Run
-	t.fails++
+	j, r := t.job, ref.runner
+	t.last = max(t.last, e.Run)
+	t.fails = append(t.fails, e.Run)
 	j.failed++
-	r := ref.runner
 	c.blame(now, j, r)
 	t.tried = append(t.tried, r)
-	c.log("event", "fail", "job", j.ID, "task", t.index, "run", e.Run, "runner", r.ID, "fails", t.fails, "of", j.Queue.Attempts)
+	c.log("event", "fail", "job", j.ID, "task", t.index, "run", e.Run, "runner", r.ID, "fails", len(t.fails), "of", j.Queue.Attempts)
 	if x != nil {
 		c.release(x)
 	}
 	c.hold(j, ref)
-	if t.fails >= max(j.Queue.Attempts, 1) {
-		c.finish(now, j, "failed")
-		return
+	if len(t.fails) >= max(j.Queue.Attempts, 1) {
+		c.finish(now, j, work.Failed)
 	}
 }
 
@@ -141,8 +141,8 @@
 
 // stall stops runs that stand still.
 func (c *Cell) stall(now time.Time) {
-	for _, r := range c.runners {
-		for _, x := range r.runs {
+	for _, r := range c.sorted {
+		for _, x := range r.all() {
 			c.watch(now, x)
 		}
 	}
--- a/core/cell/health.go
+++ b/core/cell/health.go
@@ -122,10 +122,12 @@
 	}
 	took := now.Sub(x.answered)
 	expected := span(c.expected(x.task.job, x.task.step) / x.runner.speed.rate)
-	if took < time.Duration(overdue*float64(expected))+overdueLess {
+	limit := time.Duration(overdue*float64(expected)) + overdueLess
+	if took < limit {
 		return
 	}
-	if x.percent > 0 && x.seen.After(x.answered) {
+	moving := now.Sub(x.moved) < limit
+	if moving && x.percent > 0 && x.seen.After(x.answered) {
 		ran := x.seen.Sub(x.answered)
 		left := time.Duration(float64(ran) * (100 - x.percent) / x.percent)
 		if x.percent >= 50 || left < 2*expected+overdueLess {
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -72,10 +72,9 @@
 	job   *job
 	step  int
 	index int
-	last  int // highest run known
-	floor int // below the numbers of runs that this holder starts
-	fails int
-	bad   int // highest run that failed and was counted
+	last  int   // highest run known
+	floor int   // below the numbers of runs that this holder starts
+	fails []int // runs that failed
 	done  bool
 	ready bool // may be started
 	run   *run // that may be alive
--- a/core/cell/ledger.go
+++ b/core/cell/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -46,12 +47,12 @@
 	Fails []TaskFailed `json:"fails,omitempty"` // tasks that have failed
 }
 
-// TaskFailed is a task that has failed, and the highest run that did.
+// TaskFailed is a task of which runs have failed. They may be listed in any order, and
+// again by runners that have not been told that they are counted.
 type TaskFailed struct {
-	Step  int `json:"step"`
-	Index int `json:"index"`
-	Fails int `json:"fails"`
-	Run   int `json:"run"`
+	Step  int   `json:"step"`
+	Index int   `json:"index"`
+	Runs  []int `json:"runs"`
 }
 
 // Ended is the row of the end of a job.
@@ -118,7 +119,8 @@
 	if c.deposed || !c.loaded {
 		return
 	}
-	for _, f := range c.ledger.flights {
+	for _, number := range slices.Sorted(maps.Keys(c.ledger.flights)) {
+		f := c.ledger.flights[number]
 		if !f.again.IsZero() && !now.Before(f.again) {
 			c.send(now, f)
 		}
@@ -201,6 +203,7 @@
 	case j.row.wanted:
 		return &change{job: j, ops: []table.Op{
 			{Key: c.Key(TableProgress, j.ID), If: j.row.progress, Value: encode(j.progress())},
+			{Key: c.Key(TableJobs, j.ID), If: j.row.job, Check: true}, // not after the end
 		}, ends: len(j.unsettled)}
 	}
 	return nil
@@ -213,8 +216,8 @@
 			if t.done {
 				p.Done[s] = append(p.Done[s], i)
 			}
-			if t.fails > 0 {
-				p.Fails = append(p.Fails, TaskFailed{Step: s, Index: i, Fails: t.fails, Run: t.bad})
+			if len(t.fails) > 0 {
+				p.Fails = append(p.Fails, TaskFailed{Step: s, Index: i, Runs: t.fails})
 			}
 		}
 	}
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"gypsumward/core/order"
@@ -25,7 +27,8 @@
 		c.restore(row)
 	}
 	c.loaded = true
-	for _, j := range c.jobs {
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		j := c.jobs[id]
 		j.refresh()
 		c.enlist(j)
 		if j.complete() {
@@ -33,7 +36,7 @@
 		}
 	}
 	c.log("event", "loaded", "jobs", len(c.jobs), "progress", len(progress), "round", c.Tenure.Round)
-	for _, r := range c.runners {
+	for _, r := range c.sorted {
 		c.fence(now, r)
 	}
 	c.wake()
@@ -103,8 +106,7 @@
 	}
 	for _, f := range p.Fails {
 		if t := j.task(work.Task{Job: j.ID, Step: f.Step, Index: f.Index}); t != nil {
-			t.fails = f.Fails
-			t.bad = f.Run
+			t.fails = f.Runs
 		}
 	}
 }
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -12,7 +12,7 @@
 	}
 	c.reported = now
 	var listed, usable, resting, charged, unfenced, leaving, runs, room, used, strays int
-	for _, r := range c.runners {
+	for _, r := range c.sorted {
 		runs += len(r.runs)
 		strays += r.strays
 		if !r.listed {
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -1,6 +1,9 @@
 package cell
 
 import (
+	"cmp"
+	"slices"
+	"strings"
 	"time"
 
 	"gypsumward/core/order"
@@ -76,6 +79,8 @@
 	poll, look int64 // tickets of open holds, that wait and that do not
 	polled     time.Time
 	looked     time.Time
+	confirmed  time.Time // when the last hold was sent that this life has answered
+	ordered    time.Time // when the last start of a stored job was answered
 	next       time.Time // of the next probe
 	health     health
 	speed      speed
@@ -98,26 +103,23 @@
 	answered time.Time // zero until the start was answered
 	seen     time.Time // when percent was last taken
 	percent  float64
+	moved    time.Time // when percent last changed
 	stopping time.Time // when a stop was sent; zero if none was
 	stray    bool      // its size is not known
 }
 
 // List takes the directory as it is now.
 func (c *Cell) List(now time.Time, listings []Listing) {
-	left := map[string]bool{}
-	for id := range c.runners {
-		left[id] = true
-	}
+	there := map[string]bool{}
 	for _, l := range listings {
-		delete(left, l.ID)
+		there[l.ID] = true
 		c.enter(now, l)
 	}
-	for id := range left {
-		r := c.runners[id]
-		if r.listed {
-			c.log("event", "runner", "runner", id, "state", "unlisted", "runs", len(r.runs))
+	for _, r := range c.sorted {
+		if r.listed && !there[r.ID] {
+			c.log("event", "runner", "runner", r.ID, "state", "unlisted", "runs", len(r.runs))
+			r.listed = false
 		}
-		r.listed = false
 	}
 	c.wake()
 }
@@ -128,6 +130,8 @@
 		r = &runner{since: now, speed: speed{rate: 1}, ends: map[int64]bool{}, runs: map[runKey]*run{}}
 		r.Listing = l
 		c.runners[l.ID] = r
+		at, _ := slices.BinarySearchFunc(c.sorted, l.ID, func(r *runner, id string) int { return strings.Compare(r.ID, id) })
+		c.sorted = slices.Insert(c.sorted, at, r)
 		c.log("event", "runner", "runner", l.ID, "state", "listed", "service", l.Service, "zone", l.Zone,
 			"cpu", l.Room.CPU, "born", l.Born)
 	}
@@ -156,6 +160,19 @@
 	c.probe(now, r, 0)
 }
 
+// all returns the runs of r in a fixed order.
+func (r *runner) all() []*run {
+	list := make([]*run, 0, len(r.runs))
+	for _, x := range r.runs {
+		list = append(list, x)
+	}
+	slices.SortFunc(list, func(a, b *run) int {
+		return cmp.Or(strings.Compare(a.key.task.Job, b.key.task.Job), cmp.Compare(a.key.task.Step, b.key.task.Step),
+			cmp.Compare(a.key.task.Index, b.key.task.Index), cmp.Compare(a.key.run, b.key.run))
+	})
+	return list
+}
+
 func (r *runner) target() order.Target {
 	return order.Target{ID: r.ID, Addr: r.Addr}
 }
@@ -189,9 +206,10 @@
 }
 
 // deadline returns the deadline of an order given at now, or zero if the runner
-// should not be given more time.
+// should not be given more time. None is given once another instance may have become
+// the holder, which counts on all leases to lapse.
 func (c *Cell) deadline(now time.Time, r *runner) int64 {
-	if r.clock == 0 || r.silent(now, c.Settings.Silence) {
+	if r.clock == 0 || r.silent(now, c.Settings.Silence) || !now.Before(c.leased) {
 		return 0
 	}
 	return r.estimate(now) + (c.Settings.Lease - leaseMargin).Milliseconds()
@@ -200,7 +218,7 @@
 // probe asks what runs and ended, waiting at the runner for up to wait.
 func (c *Cell) probe(now time.Time, r *runner, wait time.Duration) {
 	c.tickets++
-	h := order.Hold{Token: r.token, Acked: r.acked, Wait: wait}
+	h := order.Hold{Token: r.token, Acked: r.acknowledged(), Wait: wait}
 	if len(r.runs) > 0 || wait > 0 || !c.loaded {
 		h.Deadline = c.deadline(now, r)
 		r.until = max(r.until, h.Deadline)
@@ -217,6 +235,24 @@
 	c.Orders.Hold(r.target(), h, c.tickets)
 }
 
+// acknowledged returns up to which end may be acknowledged now. A runner that has
+// restarted under its id counts anew, and would forget ends that were never seen: so
+// none is while a run of a stored job was started after the last sign of this life.
+func (r *runner) acknowledged() int64 {
+	for _, x := range r.runs {
+		if x.task == nil || x.task.job.Transient {
+			continue
+		}
+		if x.answered.IsZero() || x.answered.After(r.confirmed) {
+			return 0
+		}
+	}
+	if r.ordered.After(r.confirmed) {
+		return 0
+	}
+	return r.acked
+}
+
 // tend does what is due at a runner: renewing leases, asking again, giving up.
 func (c *Cell) tend(r *runner, now time.Time) {
 	if r.token == 0 || (!r.listed && len(r.runs) == 0) {
@@ -260,7 +296,7 @@
 
 // tendRuns looks after starts and stops without answer.
 func (c *Cell) tendRuns(now time.Time, r *runner) {
-	for _, x := range r.runs {
+	for _, x := range r.all() {
 		if x.task == nil && x.stopping.IsZero() && now.Sub(x.sent) > strayTime {
 			c.stop(now, x, "not asked for")
 		}
@@ -284,7 +320,7 @@
 		return
 	}
 	c.log("event", "runner", "runner", r.ID, "state", "lost", "runs", len(r.runs), "silent", now.Sub(r.asked))
-	for _, x := range r.runs {
+	for _, x := range r.all() {
 		c.release(x)
 	}
 	c.wake()
@@ -296,12 +332,13 @@
 	if r == nil || c.deposed {
 		return
 	}
+	sent := time.Time{}
 	if r.poll == ticket {
-		r.poll = 0
+		r.poll, sent = 0, r.polled
 	}
 	mine := r.look == ticket
 	if mine {
-		r.look = 0
+		r.look, sent = 0, r.looked
 	}
 	if !c.heard(now, r, given.Token, h.Verdict) {
 		return
@@ -317,6 +354,9 @@
 		return
 	}
 	r.life = h.Born
+	if sent.After(r.confirmed) {
+		r.confirmed = sent
+	}
 	if h.Clock < r.clock && given.Token == r.token && r.fenced {
 		return // overtaken by a later answer
 	}
@@ -378,6 +418,7 @@
 	r.clock, r.until, r.acked, r.based = h.Clock, 0, 0, false
 	r.seen = now
 	r.ends = map[int64]bool{}
+	r.confirmed, r.ordered = time.Time{}, time.Time{}
 	r.health = health{}
 	c.fence(now, r)
 }
@@ -390,15 +431,15 @@
 	for _, a := range active {
 		listed[runKey{a.Task, a.Run}] = true
 	}
-	for key, x := range r.runs {
-		if !listed[key] {
+	for _, x := range r.all() {
+		if key := x.key; !listed[key] {
 			c.log("event", "vanished", "runner", r.ID, "job", key.task.Job, "task", key.task.Index, "run", key.run,
 				"answered", !x.answered.IsZero())
 			c.release(x)
 		}
 	}
 	c.observe(now, r, active)
-	for _, x := range r.runs {
+	for _, x := range r.all() {
 		x.token = r.token
 		if x.answered.IsZero() {
 			x.answered = now
@@ -418,6 +459,9 @@
 		if x == nil {
 			x = c.adopt(now, r, key)
 		}
+		if a.Percent != x.percent {
+			x.moved = now
+		}
 		x.seen, x.percent = now, a.Percent
 	}
 }
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -76,8 +76,8 @@
 
 // claimStrays gives j the runs of its tasks that were found at runners.
 func (c *Cell) claimStrays(now time.Time, j *job) {
-	for _, r := range c.runners {
-		for _, x := range r.runs {
+	for _, r := range c.sorted {
+		for _, x := range r.all() {
 			if x.task != nil || x.key.task.Job != j.ID || !x.stopping.IsZero() {
 				continue
 			}
--- a/core/tenure/keeper.go
+++ b/core/tenure/keeper.go
@@ -338,6 +338,7 @@
 func (k *Keeper) put(ctx context.Context, version int64, h Holder) bool {
 	limited, cancel := context.WithTimeout(ctx, k.Settings.Timeout)
 	defer cancel()
+	sent := k.Clock.Now()
 	value := encode(h)
 	written, err := k.Store.Write(limited, table.Write{Ops: []table.Op{
 		{Key: k.key("holder"), If: version, Value: value},
@@ -347,6 +348,9 @@
 	}
 	if written.Done {
 		k.take([]table.Row{{Key: k.key("holder"), Version: written.Version, Value: value}})
+		if h.Life == k.Self.Life {
+			k.Leader.Renew(Term{Epoch: written.Version, Round: h.Round}, sent.Add(k.Settings.Lease))
+		}
 		return true
 	}
 	k.take(written.Conflict)
