cell, front: release runs that a list lacks, look for rows before a refusal

Change: a list asked for after a run was known to be there tells that it is gone if it lacks it; an instance reads the rows of a stored job before it refuses it.

--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -375,6 +375,7 @@
 		c.sync(now, r, h.Active)
 	} else {
 		c.observe(now, r, h.Active)
+		c.miss(now, r, h.Active, sent)
 	}
 	c.tend(r, now)
 	c.wake()
@@ -466,6 +467,23 @@
 	}
 }
 
+// miss releases the runs that a list lacks though it was asked for after they were
+// known to be there. Their ends have been acknowledged, or the list that showed them
+// was overtaken by that of their end.
+func (c *Cell) miss(now time.Time, r *runner, active []order.Active, sent time.Time) {
+	for _, x := range r.all() {
+		if x.answered.IsZero() || !x.answered.Before(sent) {
+			continue
+		}
+		if slices.ContainsFunc(active, func(a order.Active) bool { return x.key == runKey{a.Task, a.Run} }) {
+			continue
+		}
+		c.log("event", "vanished", "runner", r.ID, "job", x.key.task.Job, "task", x.key.task.Index, "run", x.key.run,
+			"after", now.Sub(x.answered))
+		c.release(x)
+	}
+}
+
 // adopt books a run that the cell did not start. If its task has no other run, it
 // becomes the run of the task, else it is stopped.
 func (c *Cell) adopt(now time.Time, r *runner, key runKey) *run {
--- a/core/front/submit.go
+++ b/core/front/submit.go
@@ -24,7 +24,7 @@
 		h.Age = f.Clock.Now().Sub(began).Milliseconds()
 		o, open, err = f.hand(ctx, h)
 		if err == nil && final(o, h.Again) {
-			return o
+			return f.checked(ctx, j, o)
 		}
 		h.Again = h.Again || open || (err == nil && o.Verdict == cell.Open)
 		if ctx.Err() != nil || (!h.Again && f.Clock.Now().Sub(began) > findTime) {
@@ -42,6 +42,22 @@
 	return o
 }
 
+// checked returns o, unless it refuses a job that a former holder has stored and this
+// one does not know.
+func (f *Front) checked(ctx context.Context, j work.Job, o cell.Outcome) cell.Outcome {
+	if o.Verdict != cell.Refused || j.Transient {
+		return o
+	}
+	state, known, err := f.stored(ctx, j.ID)
+	switch {
+	case err != nil:
+		return cell.Outcome{Verdict: cell.Open, Reason: o.Reason}
+	case known:
+		return cell.Outcome{Verdict: cell.Accepted, State: state}
+	}
+	return o
+}
+
 // final reports whether o may be told to the caller. A refusal may not if another
 // holder may have run the job.
 func final(o cell.Outcome, again bool) bool {
