--- a/Makefile
+++ b/Makefile
@@ -8,15 +8,22 @@
 PROGRAMS := gypsumward gypsumctl standin
 LINT := $(shell $(GO) env GOPATH)/bin/golangci-lint
 
-.PHONY: build demo test lint format unit faults bench soak libc
+.PHONY: build hosted boundary demo test lint format unit faults bench soak libc
 
 build:
 	@for p in $(PROGRAMS); do CGO_ENABLED=1 $(GO) build -o $(GOBIN)/$$p ./$$p || exit 1; done
 
+# Builds for the users' platform by the line of the deploy file.
+hosted:
+	@sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)"
+
+boundary:
+	@scripts/boundary.sh
+
 demo: build
 	@scripts/demo.sh
 
-test: lint build libc unit
+test: lint build hosted boundary libc unit
 
 $(LINT):
 	@$(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
--- a/core/commit/committer.go
+++ b/core/commit/committer.go
@@ -131,7 +131,7 @@
 }
 
 // Commit hands in ch and waits for its outcome or the end of ctx. After
-// Unresolved the change is still resolved in the background; use Hand to learn
+// Unresolved the change is still resolved in the background; use Submit to learn
 // of it.
 func (c *Committer) Commit(ctx context.Context, ch Change) Outcome {
 	e, refused := c.enter(ch)
@@ -147,9 +147,9 @@
 	}
 }
 
-// Hand hands in ch and returns a channel that gives its one outcome, however
+// Submit hands in ch and returns a channel that gives its one outcome, however
 // long that takes.
-func (c *Committer) Hand(ch Change) <-chan Outcome {
+func (c *Committer) Submit(ch Change) <-chan Outcome {
 	e, refused := c.enter(ch)
 	if refused {
 		e.done <- Outcome{Result: NotWritten}
--- a/core/commit/committer_test.go
+++ b/core/commit/committer_test.go
@@ -55,7 +55,7 @@
 		c := commit.New(s, clockwork.NewRealClock(), commit.Settings{})
 		var handed []<-chan commit.Outcome
 		for _, ch := range changes {
-			handed = append(handed, c.Hand(ch))
+			handed = append(handed, c.Submit(ch))
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
--- a/core/faults/cost_test.go
+++ b/core/faults/cost_test.go
@@ -74,14 +74,14 @@
 func writeJob(c *commit.Committer, i int) time.Duration {
 	row := claim.Row{Key: claim.JobKey(api.Key{Team: "crew", ID: fmt.Sprint(i)}), Owner: "a@1", Centre: centre, Nonce: fmt.Sprint(i, "c")}
 	began := time.Now()
-	o := <-c.Hand(claim.Claim(row, 0))
+	o := <-c.Submit(claim.Claim(row, 0))
 	took := time.Since(began)
 	time.Sleep(100 * time.Millisecond)
 	row.Nonce = fmt.Sprint(i, "m")
-	o = <-c.Hand(claim.Extend(row, o.Version))
+	o = <-c.Submit(claim.Extend(row, o.Version))
 	time.Sleep(200 * time.Millisecond)
 	row.Nonce, row.State = fmt.Sprint(i, "f"), api.Complete
-	<-c.Hand(claim.Finish(row, o.Version))
+	<-c.Submit(claim.Finish(row, o.Version))
 	return took
 }
 
--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -55,7 +55,7 @@
 
 // Committer writes rows durably; see package commit.
 type Committer interface {
-	Hand(ch commit.Change) <-chan commit.Outcome
+	Submit(ch commit.Change) <-chan commit.Outcome
 	Down() bool
 }
 
--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -105,7 +105,7 @@
 func (f *Forwarder) claim(c *call, row claim.Row, version int64) {
 	go func() {
 		select {
-		case o := <-f.Commit.Hand(claim.Claim(row, version)):
+		case o := <-f.Commit.Submit(claim.Claim(row, version)):
 			f.post(claimed{call: c, row: row, outcome: o})
 		case <-f.closed:
 		}
@@ -185,7 +185,7 @@
 			}
 		}
 		select {
-		case <-f.Commit.Hand(claim.Finish(row, version)):
+		case <-f.Commit.Submit(claim.Finish(row, version)):
 		case <-f.closed:
 		}
 	}()
@@ -203,7 +203,7 @@
 			ctx, cancel := detach.Timeout(f.Clock, f.Settings.Store)
 			defer cancel()
 			select {
-			case <-f.Commit.Hand(claim.Release(row, version)):
+			case <-f.Commit.Submit(claim.Release(row, version)):
 			case <-ctx.Done():
 			case <-f.closed:
 			}
--- a/core/forward/spill_test.go
+++ b/core/forward/spill_test.go
@@ -34,7 +34,7 @@
 
 func (r *rows) Down() bool { return false }
 
-func (r *rows) Hand(ch commit.Change) <-chan commit.Outcome {
+func (r *rows) Submit(ch commit.Change) <-chan commit.Outcome {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for _, op := range ch.Ops {
--- a/core/lease/doc.go
+++ b/core/lease/doc.go
@@ -2,7 +2,7 @@
 // in the platform's table.
 //
 // An instance writes its row lease/CENTRE/NAME@INCARNATION anew every Beat, and
-// reads those of its data centre as often and all others every Wide beats. A lease has lapsed if its row did not change for Lapse of
+// reads those of its data centre as often and all others every ScanBeats beats. A lease has lapsed if its row did not change for Lapse of
 // the reader's own time, during which the reader saw the rows without a pause:
 // no clocks are compared, and after an outage every instance has a full Lapse to
 // be heard again.
--- a/core/lease/keeper.go
+++ b/core/lease/keeper.go
@@ -18,25 +18,25 @@
 
 // Defaults of Settings.
 const (
-	DefaultBeat  = time.Second
-	DefaultLapse = 4 * time.Second
-	DefaultAfar  = 4
-	DefaultGone  = 10 * time.Minute
-	DefaultWide  = 10
+	DefaultBeat      = time.Second
+	DefaultLapse     = 4 * time.Second
+	DefaultRemote    = 4
+	DefaultAbandon   = 10 * time.Minute
+	DefaultScanBeats = 10
 )
 
 // Settings tells how fast leases lapse. Zero values mean the defaults.
 type Settings struct {
-	Beat  time.Duration // between renewals
-	Lapse time.Duration // without renewal after which an instance counts as gone
-	Afar  int           // Lapse times this, before an instance of another data centre is taken over
-	Wide  int           // beats between two reads of the leases of all data centres
-	Gone  time.Duration // after which it is taken over even if its data centre cannot be reached
+	Beat      time.Duration // between renewals
+	Lapse     time.Duration // without renewal after which an instance counts as gone
+	Remote    int           // Lapse times this, before an instance of another data centre is taken over
+	ScanBeats int           // beats between two reads of the leases of all data centres
+	Abandon   time.Duration // after which it is taken over even if its data centre cannot be reached
 }
 
 // Committer writes rows; see package commit.
 type Committer interface {
-	Hand(ch commit.Change) <-chan commit.Outcome
+	Submit(ch commit.Change) <-chan commit.Outcome
 }
 
 // Scanner reads rows by prefix.
@@ -99,7 +99,7 @@
 	ticker := k.Clock.NewTicker(k.Settings.Beat)
 	defer ticker.Stop()
 	for beat := 1; ; beat++ {
-		if beat%k.Settings.Wide == 0 {
+		if beat%k.Settings.ScanBeats == 0 {
 			k.look(ctx, Prefix)
 		} else {
 			k.look(ctx, k.near())
@@ -119,14 +119,14 @@
 	if k.Settings.Lapse == 0 {
 		k.Settings.Lapse = DefaultLapse
 	}
-	if k.Settings.Afar == 0 {
-		k.Settings.Afar = DefaultAfar
+	if k.Settings.Remote == 0 {
+		k.Settings.Remote = DefaultRemote
 	}
-	if k.Settings.Wide == 0 {
-		k.Settings.Wide = DefaultWide
+	if k.Settings.ScanBeats == 0 {
+		k.Settings.ScanBeats = DefaultScanBeats
 	}
-	if k.Settings.Gone == 0 {
-		k.Settings.Gone = DefaultGone
+	if k.Settings.Abandon == 0 {
+		k.Settings.Abandon = DefaultAbandon
 	}
 }
 
@@ -141,7 +141,7 @@
 		}
 		op := table.Op{Key: Key(k.Centre, k.ID), If: k.version, Value: value}
 		select {
-		case o := <-k.Commit.Hand(commit.Change{Ops: []table.Op{op}}):
+		case o := <-k.Commit.Submit(commit.Change{Ops: []table.Op{op}}):
 			switch o.Result {
 			case commit.Written:
 				k.version = o.Version
@@ -185,7 +185,7 @@
 		if now.Sub(s.since) <= k.Settings.Lapse {
 			continue
 		}
-		if s.centre == k.Centre || now.Sub(s.since) > time.Duration(k.Settings.Afar)*k.Settings.Lapse {
+		if s.centre == k.Centre || now.Sub(s.since) > time.Duration(k.Settings.Remote)*k.Settings.Lapse {
 			k.take(ctx, id, s)
 		}
 	}
@@ -227,7 +227,7 @@
 	}
 	every := k.Settings.Beat
 	if !strings.HasPrefix(r.Key, k.near()) {
-		every *= time.Duration(k.Settings.Wide)
+		every *= time.Duration(k.Settings.ScanBeats)
 	}
 	paused := now.Sub(s.read) > every+every/2 // a read failed: time without renewal counts anew
 	s.key, s.read = r.Key, now
@@ -248,7 +248,7 @@
 	busy := s.taking
 	s.taking = true
 	version, key := s.version, s.key
-	gone := k.Clock.Since(s.since) > k.Settings.Gone
+	gone := k.Clock.Since(s.since) > k.Settings.Abandon
 	k.mutex.Unlock()
 	if busy {
 		return
@@ -258,7 +258,7 @@
 		if err == nil && n == 0 {
 			op := table.Op{Key: key, If: version, Delete: true}
 			select {
-			case <-k.Commit.Hand(commit.Change{Ops: []table.Op{op}}):
+			case <-k.Commit.Submit(commit.Change{Ops: []table.Op{op}}):
 			case <-ctx.Done():
 			}
 		}
--- a/core/owner/mark.go
+++ b/core/owner/mark.go
@@ -179,7 +179,7 @@
 // ends before.
 func (o *Owner) hand(ch commit.Change) (commit.Outcome, bool) {
 	select {
-	case outcome := <-o.Commit.Hand(ch):
+	case outcome := <-o.Commit.Submit(ch):
 		return outcome, true
 	case <-o.closed:
 		return commit.Outcome{Result: commit.Unresolved}, false
