tenure: give a holder that may live behind a cut its time

Ruled out: late orders and renewals without tenure (the runs on the former holder's side lapsed 1.85 s after the claim, within both leases).

Change: a refusal counts only when no sign of life comes for the time of one, and the term then tells for how long the former holder may go on. Silence before a takeover 2 s to 1.6 s, with the lease 1.2 s to 1 s; readiness follows 0.7 s of silence, not 1.4 s.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -35,10 +35,11 @@
 
 // Tenure tells which holding of the cell this is.
 type Tenure struct {
-	Name    string // of the cell; the first part of its keys
-	Epoch   int64  // version of the row of the holder, above all former ones
-	Round   int    // number of holders so far
-	Runners int    // that the former holder had; zero if there was none
+	Name    string        // of the cell; the first part of its keys
+	Epoch   int64         // version of the row of the holder, above all former ones
+	Round   int           // number of holders so far
+	Runners int           // that the former holder had; zero if there was none
+	Grace   time.Duration // for which the former holder may go on
 }
 
 // Cell decides what runs where. Its exported fields are set before the first call.
@@ -83,7 +84,7 @@
 		ledger:   ledger{flights: map[int64]*flight{}},
 		times:    times{queues: map[string]*queueTimes{}},
 		ended:    ended{jobs: map[string]final{}},
-		safeAt:   now.Add(s.Lease + s.Lease/leaseSlack),
+		safeAt:   now.Add(t.Grace + s.Lease + s.Lease/leaseSlack),
 		safe:     t.Round <= 1,
 	}
 }
--- a/core/cell/stray_test.go
+++ b/core/cell/stray_test.go
@@ -121,3 +121,23 @@
 	w.run(60 * time.Second)
 	require.Empty(t, w.broken)
 }
+
+// TestGrace lets a holder be replaced at once that lives on behind a cut.
+func TestGrace(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 6, 32000)
+	p := w.takeOver()
+	w.run(time.Second)
+	for i := range 12 {
+		w.submit(newJob(i+1, true, work.Step{Count: 8, CPU: 14000, Estimate: 9000}))
+	}
+	w.run(100 * time.Millisecond)
+	p.cut = true
+	p.blind = map[string]bool{"r0": true, "r1": true, "r2": true}
+	w.grace = 1200 * time.Millisecond
+	w.run(50 * time.Millisecond)
+	w.takeOver().blind = map[string]bool{"r3": true, "r4": true, "r5": true}
+	p.release()
+	w.run(120 * time.Second)
+	require.Empty(t, w.broken)
+}
--- a/core/front/front.go
+++ b/core/front/front.go
@@ -36,7 +36,7 @@
 	retryPause = 10 * time.Millisecond
 	helloEvery = 200 * time.Millisecond
 	helloLife  = 700 * time.Millisecond
-	helloLease = 800 * time.Millisecond // for which a greeting counts at the holder
+	helloLease = 600 * time.Millisecond // for which a greeting counts at the holder
 	peerLife   = 10 * time.Second       // for which a peer that is silent may still become the holder
 	comeBack   = time.Second
 	readTime   = 500 * time.Millisecond
@@ -315,7 +315,7 @@
 func (f *Front) Connected() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.lead != nil || (!f.heard.IsZero() && f.Clock.Now().Sub(f.heard) < 2*helloLife)
+	return f.lead != nil || (!f.heard.IsZero() && f.Clock.Now().Sub(f.heard) < helloLife)
 }
 
 // try calls a method of the holder once, or do if this instance is it. Open is true
--- a/core/tenure/keeper.go
+++ b/core/tenure/keeper.go
@@ -16,12 +16,12 @@
 // Defaults of Settings.
 const (
 	DefaultBeat    = 300 * time.Millisecond
-	DefaultLease   = 1200 * time.Millisecond
-	DefaultStale   = 2 * time.Second
+	DefaultLease   = time.Second
+	DefaultStale   = 1600 * time.Millisecond
 	DefaultTimeout = 700 * time.Millisecond
 	DefaultWatch   = time.Second
-	DefaultProbe   = 150 * time.Millisecond
-	DefaultHeard   = time.Second
+	DefaultProbe   = 100 * time.Millisecond
+	DefaultHeard   = 800 * time.Millisecond
 	step           = 25 * time.Millisecond
 	jitter         = 60 * time.Millisecond
 )
@@ -92,6 +92,8 @@
 	Epoch   int64 // version of the row
 	Round   int
 	Runners int // of the former holder
+	// Grace is for how long the former holder may go on to count itself as such.
+	Grace time.Duration
 }
 
 // Leader does what a holder does. Its methods must not call the Keeper.
@@ -131,7 +133,8 @@
 	known   bool      // the rows have been read
 	term    Term      // of this instance, if leading
 	leading bool
-	retired bool // does not become the holder any more
+	retired bool          // does not become the holder any more
+	grace   time.Duration // of the term that is being claimed
 	number  int64
 	changed chan struct{}
 }
@@ -241,7 +244,7 @@
 		k.Leader.Lose(former, "the row names "+h.Node)
 	}
 	if k.leading {
-		k.term = Term{Epoch: r.Version, Round: h.Round, Runners: k.beat.Runners}
+		k.term = Term{Epoch: r.Version, Round: h.Round, Runners: k.beat.Runners, Grace: k.grace}
 		k.Leader.Lead(k.term)
 	}
 }
@@ -289,19 +292,19 @@
 
 // succeed becomes the holder when there is none.
 func (k *Keeper) succeed(ctx context.Context) {
-	probed := time.Time{}
+	probed, refused := time.Time{}, time.Time{}
 	for ctx.Err() == nil {
 		pause(ctx, step)
 		heard := k.Heard()
 		now := k.Clock.Now()
 		k.mu.Lock()
 		idle := !k.known || k.leading || k.retired
-		holder, version, stale := k.holder, k.version, k.staleAt(now) && now.Sub(heard) > k.Settings.Heard
+		holder, version, seen, stale := k.holder, k.version, k.seen, k.staleAt(now) && now.Sub(heard) > k.Settings.Heard
 		k.mu.Unlock()
 		if idle {
 			continue
 		}
-		why := ""
+		why, grace := "", time.Duration(0)
 		switch {
 		case version == 0 || holder.Life == "":
 			why = "there is none"
@@ -311,13 +314,19 @@
 			why = "no sign of life"
 		case now.Sub(probed) >= k.Settings.Probe:
 			probed = now
-			if k.Refuses(ctx, holder.Addr) {
-				why = "nothing listens there"
+			switch {
+			case !k.Refuses(ctx, holder.Addr):
+				refused = time.Time{}
+			case refused.IsZero() || seen.After(refused):
+				refused = now
+			case now.Sub(refused) > k.Settings.Beat+k.Settings.Beat/10:
+				// A link that is cut may refuse too, so the holder may be alive.
+				why, grace = "nothing listens there and no sign of life", k.Settings.Lease
 			}
 		}
 		if why != "" {
 			pause(ctx, rand.N(jitter))
-			k.claim(ctx, version, holder.Round+1, why)
+			k.claim(ctx, version, holder.Round+1, why, grace)
 		}
 	}
 }
@@ -328,7 +337,10 @@
 }
 
 // claim puts the own name if the row is still as it was.
-func (k *Keeper) claim(ctx context.Context, version int64, round int, why string) {
+func (k *Keeper) claim(ctx context.Context, version int64, round int, why string, grace time.Duration) {
+	k.mu.Lock()
+	k.grace = grace
+	k.mu.Unlock()
 	_ = k.Log.Log("event", "claim", "why", why, "version", version, "round", round)
 	k.put(ctx, version, Holder{Member: k.Self, Round: round})
 }
