--- a/core/cell/stray_test.go
+++ b/core/cell/stray_test.go
@@ -103,23 +103,27 @@
 	}
 }
 
-// TestLease lets a holder that is cut from the store be replaced, where each of the two
-// reaches other runners. The former one has more tasks to start than there is room.
+// TestLease lets a holder that is cut from the store be replaced by one that reaches
+// none of its runners, but a new one. What the former one does must have lapsed.
 func TestLease(t *testing.T) {
 	t.Parallel()
 	w := newWorld(1, 6, 32000)
+	w.runners["r5"].listed = false
 	p := w.takeOver()
 	w.run(time.Second)
 	for i := range 12 {
 		w.submit(newJob(i+1, true, work.Step{Count: 8, CPU: 14000, Estimate: 9000}))
 	}
+	w.run(time.Second)
 	p.cut = true
-	p.blind = map[string]bool{"r0": true, "r1": true, "r2": true}
+	p.blind = map[string]bool{"r5": true}
 	w.run(2 * time.Second)
-	w.takeOver().blind = map[string]bool{"r3": true, "r4": true, "r5": true}
+	w.runners["r5"].listed = true
+	w.takeOver().blind = map[string]bool{"r0": true, "r1": true, "r2": true, "r3": true, "r4": true}
 	p.release()
-	w.run(60 * time.Second)
+	w.run(20 * time.Second)
 	require.Empty(t, w.broken)
+	require.NotEmpty(t, w.runners["r5"].highest, "the new holder starts tasks")
 }
 
 // TestGrace lets a holder be replaced at once that lives on behind a cut.
