--- a/core/cell/stray_test.go
+++ b/core/cell/stray_test.go
@@ -104,44 +104,56 @@
 }
 
 // TestLease lets a holder that is cut from the store be replaced by one that reaches
-// none of its runners, but a new one. What the former one does must have lapsed.
+// none of its runners, but a new one. What the former one does must have lapsed, and it
+// must start nothing more.
 func TestLease(t *testing.T) {
 	t.Parallel()
-	w := newWorld(1, 6, 32000)
-	w.runners["r5"].listed = false
-	p := w.takeOver()
-	w.run(time.Second)
-	for i := range 12 {
-		w.submit(newJob(i+1, true, work.Step{Count: 8, CPU: 14000, Estimate: 9000}))
+	for _, test := range []struct {
+		name   string
+		jobs   int
+		tasks  int
+		silent time.Duration // from the cut to the new holder
+		grace  time.Duration
+	}{
+		{"replaced after silence", 1, 14, 2 * time.Second, 0},
+		{"replaced at once", 1, 14, 50 * time.Millisecond, 1200 * time.Millisecond},
+		{"with tasks that wait", 12, 8, 2 * time.Second, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(1, 6, 32000)
+			w.runners["r5"].listed = false
+			p := w.takeOver()
+			w.run(time.Second)
+			for i := range test.jobs {
+				w.submit(newJob(i+1, true, work.Step{Count: test.tasks, CPU: 14000, Estimate: 9000}))
+			}
+			w.run(time.Second)
+			p.cut = true
+			p.blind = map[string]bool{"r5": true}
+			w.grace = test.grace
+			w.run(test.silent)
+			w.runners["r5"].listed = true
+			w.takeOver().blind = map[string]bool{"r0": true, "r1": true, "r2": true, "r3": true, "r4": true}
+			p.release()
+			w.run(40 * time.Second)
+			require.Empty(t, w.broken)
+			require.NotEmpty(t, w.runners["r5"].highest, "the new holder starts tasks")
+		})
 	}
-	w.run(time.Second)
-	p.cut = true
-	p.blind = map[string]bool{"r5": true}
-	w.run(2 * time.Second)
-	w.runners["r5"].listed = true
-	w.takeOver().blind = map[string]bool{"r0": true, "r1": true, "r2": true, "r3": true, "r4": true}
-	p.release()
-	w.run(20 * time.Second)
-	require.Empty(t, w.broken)
-	require.NotEmpty(t, w.runners["r5"].highest, "the new holder starts tasks")
 }
 
-// TestGrace lets a holder be replaced at once that lives on behind a cut.
-func TestGrace(t *testing.T) {
+// TestNoStartWithoutTenure lets a holder that is cut from the store have tasks that wait.
+func TestNoStartWithoutTenure(t *testing.T) {
 	t.Parallel()
-	w := newWorld(1, 6, 32000)
+	w := newWorld(1, 2, 32000)
 	p := w.takeOver()
 	w.run(time.Second)
-	for i := range 12 {
-		w.submit(newJob(i+1, true, work.Step{Count: 8, CPU: 14000, Estimate: 9000}))
-	}
-	w.run(100 * time.Millisecond)
+	w.submit(newJob(1, true, work.Step{Count: 12, CPU: 14000, Estimate: 900}))
 	p.cut = true
-	p.blind = map[string]bool{"r0": true, "r1": true, "r2": true}
-	w.grace = 1200 * time.Millisecond
-	w.run(50 * time.Millisecond)
-	w.takeOver().blind = map[string]bool{"r3": true, "r4": true, "r5": true}
-	p.release()
-	w.run(120 * time.Second)
-	require.Empty(t, w.broken)
+	w.run(1500 * time.Millisecond)
+	starts := len(w.runners["r0"].highest) + len(w.runners["r1"].highest)
+	require.Less(t, starts, 12)
+	w.run(10 * time.Second)
+	require.Equal(t, starts, len(w.runners["r0"].highest)+len(w.runners["r1"].highest))
 }
