--- a/scripts/mechanisms.py
+++ b/scripts/mechanisms.py
@@ -27,12 +27,12 @@
 ('failures not counted once','ends.go',' || slices.Contains(t.fails, e.Run)',''),
 ('released when silent','runner.go',' || !r.lapsed(now, c.Settings.Lease)',''),
 ('rebirth unnoticed','runner.go','if h.Born > r.life && r.life != 0 {','if false {'),
-('run numbers from one','recover.go','			t.floor = (c.Tenure.Round - 1) * roundRuns\n',''),
+('run numbers from one','recover.go','t.floor = (c.Tenure.Round - 1) * roundRuns','t.floor = 0 * roundRuns'),
 ('token kept at rebirth','runner.go','	r.health = health{}\n	c.fence(now, r)','	r.health = health{}\n	c.probe(now, r, 0)'),
 ('unanswered starts forgotten','runner.go','			c.fence(now, r)\n			return\n		}\n		if !x.stopping','			c.release(x)\n			return\n		}\n		if !x.stopping'),
 ('stop counts as gone','runner.go','	c.Orders.Stop(x.runner.target()','	c.release(x)\n	c.Orders.Stop(x.runner.target()'),
-('attempts without limit','ends.go','if t.fails >= max(j.Queue.Attempts, 1) {','if t.fails >= 99 {'),
-('order of steps ignored','job.go','		if j.open[a] > 0 {\n			return false\n		}\n',''),
+('attempts without limit','ends.go','if len(t.fails) >= max(j.Queue.Attempts, 1) {','if len(t.fails) >= 99 {'),
+('order of steps ignored','job.go','if j.open[a] > 0 {','if j.open[a] < 0 {'),
 ('old list taken','runner.go','		return // overtaken by a later answer\n',''),
 ('no grace','cell.go','t.Grace + ',''),
 ('renewed without the lease','runner.go',' || !now.Before(c.leased) {',' {'),
@@ -57,7 +57,7 @@
         if subprocess.run(["go", "vet", "./cell"], cwd=copy, capture_output=True, check=False).returncode:
             return "does not build"
         try:
-            run = subprocess.run(["go", "test", "-count=1", "./cell", "-rapid.seed=20261204"], cwd=copy,
+            run = subprocess.run(["go", "test", "-count=1", "./cell", "-rapid.seed=20261204", "-rapid.shrinktime=1s", "-failfast"], cwd=copy,
                                  capture_output=True, timeout=TIMEOUT_S, check=False)
         except subprocess.TimeoutExpired:
             return True
