--- a/core/tenure/keeper_test.go
+++ b/core/tenure/keeper_test.go
@@ -211,6 +211,13 @@
 	return h
 }
 
+// turnAway tells whether the store answers a member, or "all".
+func (h *hall) turnAway(name string, away bool) {
+	h.store.mu.Lock()
+	defer h.store.mu.Unlock()
+	h.store.away[name] = away
+}
+
 // leave lets nothing listen at an address.
 func (h *hall) leave(addr string) {
 	h.store.mu.Lock()
@@ -312,9 +319,7 @@
 		h := newHall(t, "a", "b", "c")
 		time.Sleep(3 * time.Second)
 		m := h.holder(t)
-		h.store.mu.Lock()
-		h.store.away[m.name] = true
-		h.store.mu.Unlock()
+		h.turnAway(m.name, true)
 		for range 40 {
 			time.Sleep(100 * time.Millisecond)
 			counting := 0
@@ -325,9 +330,7 @@
 			}
 			require.LessOrEqual(t, counting, 1)
 		}
-		h.store.mu.Lock()
-		delete(h.store.away, m.name)
-		h.store.mu.Unlock()
+		h.turnAway(m.name, false)
 		time.Sleep(2 * time.Second)
 		require.NotSame(t, m, h.holder(t))
 		require.Equal(t, 1, m.losses())
@@ -341,14 +344,10 @@
 		h := newHall(t, "a", "b", "c")
 		time.Sleep(3 * time.Second)
 		m := h.holder(t)
-		h.store.mu.Lock()
-		h.store.away["all"] = true
-		h.store.mu.Unlock()
+		h.turnAway("all", true)
 		time.Sleep(9 * time.Second)
 		require.Equal(t, m, h.holder(t))
-		h.store.mu.Lock()
-		delete(h.store.away, "all")
-		h.store.mu.Unlock()
+		h.turnAway("all", false)
 		time.Sleep(5 * time.Second)
 		require.Same(t, m, h.holder(t))
 		require.Len(t, m.terms(), 1)
@@ -362,9 +361,7 @@
 		h := newHall(t, "a", "b")
 		time.Sleep(3 * time.Second)
 		m := h.holder(t)
-		h.store.mu.Lock()
-		h.store.away[m.name] = true
-		h.store.mu.Unlock()
+		h.turnAway(m.name, true)
 		for range 50 {
 			time.Sleep(200 * time.Millisecond)
 			for _, other := range h.members {
@@ -395,9 +392,7 @@
 		h.leave(m.name)
 		time.Sleep(10 * time.Second)
 		require.Same(t, m, h.holder(t))
-		h.store.mu.Lock()
-		h.store.away[m.name] = true
-		h.store.mu.Unlock()
+		h.turnAway(m.name, true)
 		time.Sleep(time.Second)
 		for _, other := range h.members {
 			if other != m && other.leads() {
