--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -11,6 +11,7 @@
 
 	"gypsumward/core/cell"
 	"gypsumward/core/order"
+	"gypsumward/core/steady"
 	"gypsumward/core/table"
 	"gypsumward/core/tenure"
 	"gypsumward/core/work"
@@ -169,7 +170,7 @@
 		found, err := l.Store.Scan(limited, table.Scan{Prefix: prefix, After: after, Limit: pageSize})
 		cancel()
 		if err != nil {
-			sleep(ctx, readPause)
+			steady.Sleep(ctx, readPause)
 			continue
 		}
 		*rows = append(*rows, found.Rows...)
@@ -181,15 +182,6 @@
 	return false
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // loadMessage carries the rows of the cell.
 type loadMessage struct{ jobs, progress []table.Row }
 
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gypsumward/core/span"
+	"gypsumward/core/steady"
 	"gypsumward/core/table"
 )
 
@@ -54,7 +55,7 @@
 		if m.Fail != nil && ctx.Err() == nil {
 			m.Fail(err)
 		}
-		sleep(ctx, pause)
+		steady.Sleep(ctx, pause)
 		pause = min(2*pause, maxPause)
 	}
 }
@@ -98,12 +99,3 @@
 	m.Take(rows, true)
 	return version, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/core/sockopt/doc.go
@@ -0,0 +1,2 @@
+// Package sockopt provides options of sockets that the standard library does not set.
+package sockopt
--- a/core/tenure/keeper.go
+++ b/core/tenure/keeper.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 
 	"gypsumward/core/mirror"
+	"gypsumward/core/steady"
 	"gypsumward/core/table"
 )
 
@@ -264,7 +265,7 @@
 		}
 		began := k.Clock.Now()
 		k.writeBeat(ctx, term, began)
-		pause(ctx, k.Settings.Beat-k.Clock.Now().Sub(began))
+		steady.Sleep(ctx, k.Settings.Beat-k.Clock.Now().Sub(began))
 	}
 }
 
@@ -282,7 +283,7 @@
 	}})
 	switch {
 	case err != nil:
-		pause(ctx, 20*time.Millisecond)
+		steady.Sleep(ctx, 20*time.Millisecond)
 	case written.Done:
 		k.Leader.Renew(term, now.Add(k.Settings.Lease))
 	default:
@@ -294,7 +295,7 @@
 func (k *Keeper) succeed(ctx context.Context) {
 	probed, refused := time.Time{}, time.Time{}
 	for ctx.Err() == nil {
-		pause(ctx, step)
+		steady.Sleep(ctx, step)
 		heard := k.Heard()
 		now := k.Clock.Now()
 		k.mu.Lock()
@@ -325,7 +326,7 @@
 			}
 		}
 		if why != "" {
-			pause(ctx, rand.N(jitter))
+			steady.Sleep(ctx, rand.N(jitter))
 			k.claim(ctx, version, holder.Round+1, why, grace)
 		}
 	}
@@ -382,18 +383,6 @@
 	return k.put(ctx, term.Epoch, Holder{Member: to, Round: term.Round + 1})
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func encode(v any) json.RawMessage {
 	raw, err := json.Marshal(v)
 	if err != nil {
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -16,7 +16,6 @@
 	"github.com/go-kit/log"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/juju/errors"
-	"golang.org/x/sys/unix"
 
 	"gypsumward/core/cell"
 	"gypsumward/core/front"
@@ -25,6 +24,7 @@
 	"gypsumward/core/peer"
 	"gypsumward/core/record"
 	"gypsumward/core/route"
+	"gypsumward/core/sockopt"
 	"gypsumward/core/stamp"
 	"gypsumward/core/steady"
 	"gypsumward/core/table"
@@ -107,11 +107,7 @@
 
 // dial connects to another instance.
 func dial(ctx context.Context, addr string) (net.Conn, error) {
-	d := &net.Dialer{Timeout: 300 * time.Millisecond, Control: func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) {
-			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, 800)
-		})
-	}}
+	d := &net.Dialer{Timeout: 300 * time.Millisecond, Control: sockopt.Unacked(800 * time.Millisecond)}
 	return d.DialContext(ctx, "tcp", addr)
 }
 
