cell: lose runners that refuse connections or whose address another has

If it crashes and its port resets connections, each hold fails at once and the next one, 20 ms later, is booked with a later deadline, so the runner never counts as silent and its runs never as lapsed. The same with a runner at whose address another one answers (421). On the sites themselves the tasks of such a runner waited for their callers to leave. By the same path a runner that refused a new holder's first hold was not asked again.

Ruled out: an answer under an old token (none was logged), a stray entry of the list (the run stays after the entry went).

The two faults are among the happenings of the random plays.

--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -157,6 +157,17 @@
 		w.faults.late = 0.2
 		w.after(500*time.Millisecond, func() { w.runners["r1"].restart(); w.runners["r2"].restart() })
 	}},
+	{"runner lost, its address given to another", func(w *world) {
+		r := w.runners["r2"]
+		r.giveAway()
+		w.after(3*time.Second, func() { r.listed = false; w.relist() })
+	}},
+	{"runner lost for a while, its address given to another", func(w *world) {
+		r := w.runners["r2"]
+		r.dead = true
+		w.after(200*time.Millisecond, func() { r.giveAway() })
+		w.after(1500*time.Millisecond, func() { r.takeBack(); w.relist() })
+	}},
 	{"runner lost", func(w *world) {
 		w.runners["r2"].dead = true
 		w.after(4*time.Second, func() { w.runners["r2"].listed = false; w.relist() })
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -178,10 +178,10 @@
 	}
 	x := r.runs[runKey{given.Task, given.Run}]
 	if !c.heard(now, r, given.Token, v.Verdict) {
-		if v.Verdict == order.Unfit {
+		if v.Verdict == order.Unfit || v.Verdict == order.Invalid {
 			r.health.failed(now)
 		}
-		if x != nil && (v.Verdict == order.Unfit || v.Verdict == order.Fenced) {
+		if x != nil && (v.Verdict == order.Unfit || v.Verdict == order.Invalid || v.Verdict == order.Fenced) {
 			c.refused(now, x, v.Verdict)
 		}
 		return
--- a/core/cell/runner_world_test.go
+++ b/core/cell/runner_world_test.go
@@ -25,6 +25,8 @@
 	listed  bool
 	cut     bool
 	dead    bool
+	refuses bool // nothing listens at its address while it is dead
+	foreign bool // it has crashed and another runner answers at its address
 	fails   bool // every run
 	first   bool // the first run of each task fails
 	hangs   bool
@@ -65,6 +67,28 @@
 	r.ends, r.holds, r.dead = nil, nil, false
 }
 
+// failTime returns how long a call takes to fail that would time out.
+func (r *simRunner) failTime(timeout time.Duration) time.Duration {
+	if r != nil && r.dead && r.refuses {
+		return r.world.jitter()
+	}
+	return timeout
+}
+
+// giveAway lets the runner crash and another one answer at its address.
+func (r *simRunner) giveAway() {
+	r.restart()
+	r.foreign = true
+}
+
+// takeBack starts a runner anew whose address another one had.
+func (r *simRunner) takeBack() {
+	if r.foreign {
+		r.restart()
+		r.foreign = false
+	}
+}
+
 func (r *simRunner) clock() int64 {
 	ms := r.world.now.Sub(r.began).Milliseconds()
 	return ms - ms*r.drift/100
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -119,6 +119,7 @@
 	w.store.down = false
 	for _, r := range w.runners {
 		r.cut, r.fails, r.hangs, r.slow = false, false, false, 1
+		r.takeBack()
 	}
 	p := w.holder()
 	if p.gone || p.cut || len(p.blind) > 0 || p.slow > 0 {
@@ -236,6 +237,7 @@
 	cut     bool // from the store
 	frozen  time.Time
 	waiting []func() // callers that hear of its end
+	holds   int      // sent
 }
 
 // tell does something in the goroutine of the holder: not after it was killed, and
@@ -289,12 +291,12 @@
 }
 
 func (p *port) Start(to order.Target, s order.Start) {
-	send(p, to, func(r *simRunner) order.Reply { return r.start(s) }, order.Reply{}, 1500*time.Millisecond,
+	send(p, to, func(r *simRunner) order.Reply { return r.start(s) }, 1500*time.Millisecond,
 		func(v order.Reply) { p.cell.Started(p.world.now, to.ID, s, v) })
 }
 
 func (p *port) Stop(to order.Target, s order.Stop) {
-	send(p, to, func(r *simRunner) order.Reply { return r.stop(s) }, order.Reply{}, 1500*time.Millisecond,
+	send(p, to, func(r *simRunner) order.Reply { return r.stop(s) }, 1500*time.Millisecond,
 		func(v order.Reply) { p.cell.Stopped(p.world.now, to.ID, s, v) })
 }
 
@@ -303,11 +305,16 @@
 	answer := func(v order.Held) {
 		p.tell(func() { p.cell.Held(w.now, to.ID, h, ticket, v) })
 	}
+	p.holds++
 	lost := w.chance(w.faults.lost)
 	w.after(w.jitter(), func() {
 		r := w.runners[to.ID]
 		if r == nil || r.cut || r.dead || p.blind[to.ID] {
-			w.after(h.Wait+400*time.Millisecond, func() { answer(order.Held{}) })
+			w.after(r.failTime(h.Wait+400*time.Millisecond), func() { answer(order.Held{}) })
+			return
+		}
+		if r.foreign {
+			w.after(w.jitter(), func() { answer(order.Held{Verdict: order.Other}) })
 			return
 		}
 		r.hold(h, func(v order.Held) {
@@ -321,9 +328,10 @@
 }
 
 // send carries an order to a runner and its answer back, or loses either.
-func send[V any](p *port, to order.Target, do func(*simRunner) V, none V, timeout time.Duration, answer func(V)) {
+func send(p *port, to order.Target, do func(*simRunner) order.Reply, timeout time.Duration, answer func(order.Reply)) {
 	w := p.world
-	fail := func() { w.after(timeout, func() { p.tell(func() { answer(none) }) }) }
+	none := order.Reply{}
+	fail := func() { w.after(w.runners[to.ID].failTime(timeout), func() { p.tell(func() { answer(none) }) }) }
 	if w.chance(w.faults.late) {
 		life := 0
 		if r := w.runners[to.ID]; r != nil {
@@ -331,7 +339,7 @@
 		}
 		w.after(2*time.Second+time.Duration(w.rng.Int64N(int64(10*time.Second))), func() {
 			// One that meets a later life comes before any token that could fence it.
-			if r := w.runners[to.ID]; r != nil && !r.cut && !r.dead && r.life == life {
+			if r := w.runners[to.ID]; r != nil && !r.cut && !r.dead && !r.foreign && r.life == life {
 				do(r)
 			}
 		})
@@ -345,7 +353,10 @@
 			fail()
 			return
 		}
-		v := do(r)
+		v := order.Reply{Verdict: order.Other}
+		if !r.foreign {
+			v = do(r)
+		}
 		if lost {
 			fail()
 			return
