cell, lead: remove the rows of ends once they are told no more

Cause: rows of the table of ends were never removed; a run with stored jobs leaks a row a job, 7,000 a minute at the sites' rate.

Ruled out: an expiry of the store (it has none); a scan each half minute (42 reads of 500 rows at that rate).

Change: the holder removes the row when it forgets the end, on the condition of its version and of its own term, in transactions of their own that wait for all others. A new holder reads the rows of former ones a page a second and keeps each for as long again.

Test: TestEndsRemoved, calm, with lost answers and with the store down.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -120,7 +120,7 @@
 
 // Idle reports whether no write is open.
 func (c *Cell) Idle() bool {
-	return len(c.ledger.flights) == 0 && len(c.ledger.dirty) == 0
+	return len(c.ledger.flights) == 0 && len(c.ledger.dirty) == 0 // rows to be removed may wait
 }
 
 // Runners returns the number of runners that orders can be given to.
@@ -174,7 +174,7 @@
 	}
 	c.stall(now)
 	c.report(now)
-	c.ended.sweep(now, c.Settings.Keep)
+	c.ended.sweep(now, c.Settings.Keep, c.expire)
 	c.wake()
 }
 
--- a/core/cell/ledger.go
+++ b/core/cell/ledger.go
@@ -82,6 +82,7 @@
 type flight struct {
 	number  int64
 	changes []*change
+	drops   []table.Op // rows to be removed, whether they still are as expected or not
 	sent    time.Time
 	again   time.Time // when it is to be sent; zero while it is out
 	pause   time.Duration
@@ -93,7 +94,8 @@
 	number  int64
 	dirty   []*job
 	flights map[int64]*flight
-	failing time.Time // since when no write was answered; zero if the last one was
+	expired []table.Op // rows of ends to be removed
+	failing time.Time  // since when no write was answered; zero if the last one was
 }
 
 // touch marks the rows of j as behind.
@@ -125,8 +127,11 @@
 			c.send(now, f)
 		}
 	}
-	for len(c.ledger.flights) < c.Settings.Flights && len(c.ledger.dirty) > 0 {
+	for len(c.ledger.flights) < c.Settings.Flights {
 		f := c.gather()
+		if f == nil {
+			f = c.gatherExpired()
+		}
 		if f == nil {
 			return
 		}
@@ -234,6 +239,7 @@
 	for _, ch := range f.changes {
 		w.Ops = append(w.Ops, ch.ops...)
 	}
+	w.Ops = append(w.Ops, f.drops...)
 	c.Counter.Count("writes", 1)
 	c.Store.Write(f.number, w)
 }
@@ -275,7 +281,11 @@
 			left = append(left, ch)
 		}
 	}
-	if len(left) > 0 {
+	f.drops = slices.DeleteFunc(f.drops, func(op table.Op) bool {
+		_, conflict := conflicts[op.Key]
+		return a.Written.Done || conflict
+	})
+	if len(left) > 0 || len(f.drops) > 0 {
 		f.changes, f.open, f.pause = left, false, firstPause
 		c.send(now, f)
 	}
@@ -292,7 +302,7 @@
 	if !f.open {
 		f.changes = slices.DeleteFunc(f.changes, func(ch *change) bool { return c.withdraw(ch) })
 	}
-	if len(f.changes) == 0 {
+	if len(f.changes) == 0 && len(f.drops) == 0 {
 		delete(c.ledger.flights, f.number)
 		return
 	}
@@ -337,7 +347,7 @@
 	j.unsettled = append([]endRef(nil), j.unsettled[ch.ends:]...)
 	switch {
 	case ch.final:
-		c.close(now, j)
+		c.close(now, j, version)
 	case !j.row.stored:
 		j.row.job = version
 		c.accept(now, j)
@@ -381,7 +391,7 @@
 		if json.Unmarshal(r.Value, &e) == nil && e.State.Ended() {
 			j.state = e.State
 		}
-		c.close(now, j)
+		c.close(now, j, r.Version)
 		return
 	}
 	if r, ok := conflicts[c.Key(TableJobs, j.ID)]; ok {
@@ -397,14 +407,15 @@
 	c.touch(j)
 }
 
-// close takes a job whose end is stored off the books.
-func (c *Cell) close(now time.Time, j *job) {
+// close takes a job off the books whose end is stored in a row of a version, or has
+// none.
+func (c *Cell) close(now time.Time, j *job, version int64) {
 	for _, e := range j.unsettled {
 		e.settle()
 	}
 	j.unsettled = nil
 	c.unlist(j)
-	c.ended.add(j.ID, j.state, now)
+	c.ended.add(j.ID, final{state: j.state, at: now, version: version})
 	if !c.running(j) {
 		delete(c.jobs, j.ID)
 	}
--- a/core/cell/settings.go
+++ b/core/cell/settings.go
@@ -41,3 +41,9 @@
 	}
 	return s
 }
+
+// Adjust puts other bounds in force.
+func (c *Cell) Adjust(s Settings) {
+	c.Settings = s.withDefaults()
+	c.log("event", "bounds", "lease", c.Settings.Lease, "grace", c.Settings.Grace, "keep", c.Settings.Keep)
+}
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -204,7 +204,7 @@
 		}
 	}
 	if j.Transient {
-		c.close(now, j)
+		c.close(now, j, 0)
 		return
 	}
 	c.touch(j)
@@ -219,32 +219,3 @@
 		c.ready = slices.Delete(c.ready, at, at+1)
 	}
 }
-
-// final is the end of a job that is stored.
-type final struct {
-	state work.State
-	at    time.Time
-}
-
-// ended keeps the ends of jobs for as long as they are told.
-type ended struct {
-	jobs  map[string]final
-	order []string
-}
-
-func (e *ended) add(id string, state work.State, now time.Time) {
-	e.jobs[id] = final{state: state, at: now}
-	e.order = append(e.order, id)
-}
-
-// sweep forgets ends that are older than keep.
-func (e *ended) sweep(now time.Time, keep time.Duration) {
-	n := 0
-	for n < len(e.order) && now.Sub(e.jobs[e.order[n]].at) > keep {
-		delete(e.jobs, e.order[n])
-		n++
-	}
-	if n > 0 {
-		e.order = append([]string(nil), e.order[n:]...)
-	}
-}
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -149,6 +149,8 @@
 	w.after(3*w.jitter(), func() {
 		jobs, progress := w.store.scan("c0/jobs/"), w.store.scan("c0/progress/")
 		w.after(w.jitter(), func() { p.tell(func() { p.cell.Load(w.now, jobs, progress) }) })
+		ends := w.store.scan("c0/ends/")
+		w.after(time.Second, func() { p.tell(func() { p.cell.LoadEnds(w.now, ends) }) })
 	})
 	p.renew()
 	p.tick()
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -25,6 +25,7 @@
 	orderTimeout = 1500 * time.Millisecond
 	pageSize     = 500
 	readPause    = 30 * time.Millisecond
+	endsPause    = time.Second // between pages of ended jobs
 )
 
 // ErrOver is the error of a call to a lead whose term is over.
@@ -159,19 +160,32 @@
 			return
 		}
 	}
-	l.Post(m)
+	if l.Post(m) {
+		l.loadEnds(ctx)
+	}
+}
+
+// loadEnds hands the rows of ended jobs to the cell, page by page and slowly, since
+// nothing waits for them.
+func (l *Lead) loadEnds(ctx context.Context) {
+	after := ""
+	for {
+		steady.Sleep(ctx, endsPause)
+		found, ok := l.page(ctx, l.cell.Key(cell.TableEnds, ""), after)
+		if !ok || !l.Post(endsMessage{found.Rows}) || !found.More || len(found.Rows) == 0 {
+			return
+		}
+		after = found.Rows[len(found.Rows)-1].Key
+	}
 }
 
 // scan reads all rows with a prefix. It returns false if ctx ended before.
 func (l *Lead) scan(ctx context.Context, prefix string, rows *[]table.Row) bool {
 	after := ""
-	for ctx.Err() == nil {
-		limited, cancel := context.WithTimeout(ctx, storeTimeout)
-		found, err := l.Store.Scan(limited, table.Scan{Prefix: prefix, After: after, Limit: pageSize})
-		cancel()
-		if err != nil {
-			steady.Sleep(ctx, readPause)
-			continue
+	for {
+		found, ok := l.page(ctx, prefix, after)
+		if !ok {
+			return false
 		}
 		*rows = append(*rows, found.Rows...)
 		if !found.More || len(found.Rows) == 0 {
@@ -179,7 +193,21 @@
 		}
 		after = found.Rows[len(found.Rows)-1].Key
 	}
-	return false
+}
+
+// page reads rows with a prefix, from after a key on, until that succeeds. It returns
+// false if ctx ended before.
+func (l *Lead) page(ctx context.Context, prefix, after string) (table.Found, bool) {
+	for ctx.Err() == nil {
+		limited, cancel := context.WithTimeout(ctx, storeTimeout)
+		found, err := l.Store.Scan(limited, table.Scan{Prefix: prefix, After: after, Limit: pageSize})
+		cancel()
+		if err == nil {
+			return found, true
+		}
+		steady.Sleep(ctx, readPause)
+	}
+	return table.Found{}, false
 }
 
 // loadMessage carries the rows of the cell.
@@ -187,6 +215,11 @@
 
 func (m loadMessage) Apply(c *cell.Cell, now time.Time) { c.Load(now, m.jobs, m.progress) }
 
+// endsMessage carries rows of ended jobs.
+type endsMessage struct{ rows []table.Row }
+
+func (m endsMessage) Apply(c *cell.Cell, now time.Time) { c.LoadEnds(now, m.rows) }
+
 // Renew tells until when no other can have become the holder.
 func (l *Lead) Renew(until time.Time) { l.Post(renewMessage{until}) }
 
@@ -194,6 +227,13 @@
 
 func (m renewMessage) Apply(c *cell.Cell, _ time.Time) { c.Lease(m.until) }
 
+// Adjust puts other bounds in force.
+func (l *Lead) Adjust(s cell.Settings) { l.Post(adjustMessage{s}) }
+
+type adjustMessage struct{ settings cell.Settings }
+
+func (m adjustMessage) Apply(c *cell.Cell, _ time.Time) { c.Adjust(m.settings) }
+
 // Depose ends the term.
 func (l *Lead) Depose(why string) { l.Post(deposeMessage{why}) }
 
