boot, hosted: take in settings that changed, with a signal or without

Cause: SIGHUP read the file and used nothing of it; changes without a signal were not looked for.

Change: the lease of runners, the time of a stop, that of a shutdown and that for which states are told are in force within a second; names, addresses and memory are logged as needing a new process. The file is read each second.

Test: TestFollower.

--- /dev/null
+++ b/gypsumward/boot/follower_test.go
@@ -0,0 +1,59 @@
+package boot_test
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"gypsumward/gypsumward/boot"
+	"gypsumward/platform"
+)
+
+func TestFollower(t *testing.T) {
+	t.Parallel()
+	first := platform.Settings{Node: "a", Front: "10.0.0.1:80", Lease: time.Second, Grace: 6 * time.Second}
+	next, fault := first, error(nil)
+	var out bytes.Buffer
+	taken := 0
+	f := boot.New(&first)
+	f.Source = func() (*platform.Settings, error) {
+		s := next
+		return &s, fault
+	}
+	f.Log = log.NewLogfmtLogger(&out)
+	f.Taken = func() { taken++ }
+	for _, test := range []struct {
+		name  string
+		do    func()
+		asked bool
+		log   string
+		taken int
+		lease time.Duration
+	}{
+		{"nothing changed", func() {}, false, "", 0, time.Second},
+		{"nothing changed, with a signal", func() {}, true, "event=reload asked=true applied= later=\n", 0, time.Second},
+		{"a silent change", func() { next.Lease = 700 * time.Millisecond }, false,
+			"event=reload asked=false applied=lease later=\n", 1, 700 * time.Millisecond},
+		{"looked at again", func() {}, false, "", 1, 700 * time.Millisecond},
+		{"an address and a bound", func() { next.Front, next.Grace = "10.0.0.2:80", 3*time.Second }, true,
+			"event=reload asked=true applied=grace later=front\n", 2, 700 * time.Millisecond},
+		{"logged once", func() {}, false, "", 2, 700 * time.Millisecond},
+		{"unreadable", func() { fault = errors.New("line 3") }, false, "event=reload asked=false err=\"line 3\"\n", 2, 700 * time.Millisecond},
+		{"still unreadable", func() {}, false, "", 2, 700 * time.Millisecond},
+		{"unreadable, with a signal", func() {}, true, "event=reload asked=true err=\"line 3\"\n", 2, 700 * time.Millisecond},
+		{"readable again", func() { fault, next.Lease = nil, time.Second }, false,
+			"event=reload asked=false applied=lease later=front\n", 3, time.Second},
+	} {
+		test.do()
+		out.Reset()
+		f.Check(test.asked)
+		require.Equal(t, test.log, out.String(), test.name)
+		require.Equal(t, test.taken, taken, test.name)
+		require.Equal(t, test.lease, f.Get().Lease, test.name)
+		require.Equal(t, "10.0.0.1:80", f.Get().Front, test.name)
+	}
+}
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -29,6 +29,7 @@
 	"gypsumward/core/steady"
 	"gypsumward/core/table"
 	"gypsumward/core/tenure"
+	"gypsumward/gypsumward/boot"
 	"gypsumward/platform"
 )
 
@@ -56,7 +57,7 @@
 
 // Host is one entry instance.
 type Host struct {
-	settings *platform.Settings
+	settings *boot.Follower
 	log      log.Logger
 	ring     *record.Ring
 	gauge    *gauge
@@ -73,8 +74,10 @@
 
 // New returns an instance with the given settings, which logs to out.
 func New(s *platform.Settings, out io.Writer) *Host {
-	h := &Host{settings: s, ring: record.New(out, 0), gauge: newGauge()}
+	h := &Host{settings: boot.New(s), ring: record.New(out, 0), gauge: newGauge()}
 	h.log = log.With(log.NewLogfmtLogger(h.ring), "t", log.Valuer(func() any { return time.Now().UnixMilli() }))
+	h.settings.Log, h.settings.Taken = h.log, h.rebound
+	h.settings.Source = func() (*platform.Settings, error) { return platform.Load(os.Getenv(platform.Variable)) }
 	h.store = &platform.Store{Client: platform.NewClient(storeConns), Addr: s.Store}
 	h.orders = &platform.Runners{Client: platform.NewClient(runnerConns)}
 	now := time.Now()
@@ -98,13 +101,28 @@
 
 // begin makes the lead of a term.
 func (h *Host) begin(t tenure.Term) *lead.Lead {
-	s := cell.Settings{Lease: h.settings.Lease, Grace: h.settings.Stop, Keep: h.settings.Status + 30*time.Second}
-	l := lead.New(t, CellName, s, h.orders, h.store, h.clock, h.log, h.gauge)
+	l := lead.New(t, CellName, h.bounds(), h.orders, h.store, h.clock, h.log, h.gauge)
 	l.Post(cell.ListMessage{Listings: h.runners.listings()})
 	h.runners.want()
 	return l
 }
 
+// bounds returns the bounds of a cell as they are set now.
+func (h *Host) bounds() cell.Settings {
+	s := h.settings.Get()
+	return cell.Settings{Lease: s.Lease, Grace: s.Stop, Keep: s.Status + keepSlack}
+}
+
+// rebound puts changed bounds in force.
+func (h *Host) rebound() {
+	if l := h.front.Current(); l != nil {
+		l.Adjust(h.bounds())
+	}
+}
+
+// keepSlack is for how much longer than promised the end of a job is told.
+const keepSlack = 30 * time.Second
+
 // dial connects to another instance.
 func dial(ctx context.Context, addr string) (net.Conn, error) {
 	d := &net.Dialer{Timeout: 300 * time.Millisecond, Control: sockopt.Unacked(800 * time.Millisecond)}
@@ -133,7 +151,8 @@
 	defer duties.Wait()
 	defer cancel()
 	duties.Go(func() { h.ring.Run(ctx) })
-	_ = h.log.Log("event", "start", "node", h.settings.Node, "zone", h.settings.Zone, "front", h.settings.Front,
+	settings := h.settings.Get()
+	_ = h.log.Log("event", "start", "node", settings.Node, "zone", settings.Zone, "front", settings.Front,
 		"life", h.front.Self.Life)
 	servers, err := h.serve(ctx, &duties)
 	if err != nil {
@@ -142,11 +161,12 @@
 	h.follow(ctx, &duties)
 	duties.Go(func() { h.front.Run(ctx) })
 	duties.Go(func() { h.keeper.Run(ctx) })
+	duties.Go(func() { h.settings.Run(ctx) })
 	for {
 		select {
 		case s := <-signals:
 			if s == syscall.SIGHUP {
-				h.reload()
+				h.settings.Check(true)
 				continue
 			}
 			h.stop(servers)
@@ -157,22 +177,16 @@
 	}
 }
 
-// reload reads the settings file again. All that is used of it holds for the life of
-// the process.
-func (h *Host) reload() {
-	_, err := platform.Load(os.Getenv(platform.Variable))
-	_ = h.log.Log("event", "reload", "err", err)
-}
-
 // serve starts the servers.
 func (h *Host) serve(ctx context.Context, duties *sync.WaitGroup) ([]*khttp.Server, error) {
-	ready := khttp.NewServer(khttp.Address(h.settings.Ready), khttp.Timeout(0))
+	settings := h.settings.Get()
+	ready := khttp.NewServer(khttp.Address(settings.Ready), khttp.Timeout(0))
 	ready.HandlePrefix("/", http.HandlerFunc(h.ready))
-	ingress := khttp.NewServer(khttp.Address(h.settings.Front), khttp.Timeout(0))
+	ingress := khttp.NewServer(khttp.Address(settings.Front), khttp.Timeout(0))
 	ingress.HandlePrefix("/", &platform.Ingress{Desk: h.front, Configs: &h.configs, Leaving: h.leaving.Load})
 	ingress.ReadHeaderTimeout = 5 * time.Second
 	ingress.IdleTimeout = time.Minute
-	metrics := khttp.NewServer(khttp.Address(net.JoinHostPort(h.settings.IP, metricsPort)), khttp.Timeout(0))
+	metrics := khttp.NewServer(khttp.Address(net.JoinHostPort(settings.IP, metricsPort)), khttp.Timeout(0))
 	metrics.Handle("/metrics", h.gauge.handler())
 	servers := []*khttp.Server{ingress, ready, metrics}
 	for _, s := range servers {
@@ -255,7 +269,7 @@
 	_ = h.log.Log("event", "stop")
 	h.handOver()
 	time.Sleep(noticeTime - time.Since(began))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(h.settings.Grace-lastMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(h.settings.Get().Grace-lastMargin))
 	defer cancel()
 	for _, s := range servers {
 		_ = s.Stop(ctx)
