cell, work, platform: run gangs, lasting tasks, occurrences and checkpoints

Cause: jobs with gang, long_running or repeat_count got 400; checkpointable and same_rack were ignored.

Change: a gang is placed whole or not at all, under one run number; when a member ends otherwise than done the others are stopped and the gang starts again; the end of one as done is that of all, and the ends of the others are acknowledged with it. A gang that waits for room for 0.3 s gets what becomes free for 4 s. Tasks that last are started again however they end, without a limit of attempts, and are never stopped as stragglers. Occurrences are steps of their own that are released by the time of day, where jumps that last less than 10 s are not followed (daytime). Checkpoints go with the next start; those of stored jobs are in the row of progress before the end that told of them is acknowledged. A step that should be on one rack goes to the rack with most places.

Ruled out: placing members one by one with a time-out (two half-placed gangs wait for each other); an own job for each occurrence (its id would not be that of the tasks).

Tests over the simulated runners, which know gangs, lasting tasks and checkpoints now and check UNASKED, ORDER by time and BUDGET by gang: TestGangs, TestGangTooLarge, TestGangMemberLost, TestLasting, TestOccurrences, TestCheckpointsKept.

--- a/core/cell/admit.go
+++ b/core/cell/admit.go
@@ -10,9 +10,8 @@
 // refuse returns why j is not taken, and when to come back, or no reason. It sets
 // when j is due.
 func (c *Cell) refuse(now time.Time, j *job) (reason string, after time.Duration) {
-	chain := j.Chain(func(step int) float64 { return c.expected(j, step) })
-	allowed := j.Queue.Stretch*chain + float64(j.Queue.Target)
-	j.due = j.arrived.Add(span(allowed))
+	allowed := c.allowed(j)
+	j.due = j.arrived.Add(allowed)
 	if j.inherited || !c.loaded {
 		return "", 0
 	}
@@ -22,25 +21,32 @@
 	case !c.roomy(j):
 		return ReasonTasks, comeBack
 	}
+	if j.Repeat > 0 || j.Lasting() {
+		return "", 0
+	}
 	wait := c.backlog()
-	if wait > 0 && wait+chain > allowed {
+	chain := j.Chain(func(step int) float64 { return c.expected(j, step) })
+	if wait > 0 && wait+chain > milliseconds(allowed) {
 		return ReasonLoad, max(span(wait), 100*time.Millisecond)
 	}
 	return "", 0
 }
 
-// roomy reports whether each step of j fits on some runner when that is idle.
+// roomy reports whether each step of j fits on idle runners: a task on one of them, a
+// gang on all together.
 func (c *Cell) roomy(j *job) bool {
 	for s := range j.Steps {
+		wanted, places := 1, 0
+		if j.Steps[s].Gang {
+			wanted = j.Steps[s].Count
+		}
 		n := need(&j.Steps[s])
-		found := false
 		for _, r := range c.sorted {
-			if r.Service == j.Queue.Service && r.Room.fits(n) {
-				found = true
-				break
+			if r.Service == j.Queue.Service && places < wanted {
+				places += r.Room.times(n)
 			}
 		}
-		if !found {
+		if places < wanted {
 			return false
 		}
 	}
@@ -52,7 +58,10 @@
 	waiting, capacity := 0.0, 0.0
 	for _, j := range c.ready {
 		for s := range j.tasks {
-			each := c.expected(j, s) * float64(j.Steps[s].CPU)
+			each := c.expected(j, s) * float64(j.spec(s).CPU)
+			if j.spec(s).Lasting {
+				continue
+			}
 			for _, t := range j.tasks[s] {
 				if t.ready {
 					waiting += each
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -50,6 +50,7 @@
 	Store    Store
 	Log      log.Logger
 	Counter  Counter
+	Wall     func() int64 // time of day, in milliseconds since 1970
 
 	jobs     map[string]*job
 	runners  map[string]*runner
@@ -60,6 +61,7 @@
 	ended    ended
 	tickets  int64
 	scratch  []*runner
+	rack     string // on which the tasks that are placed now should be; empty for any
 	reported time.Time
 
 	loaded  bool      // the rows have been read
@@ -79,6 +81,7 @@
 		Settings: s,
 		Log:      log.NewNopLogger(),
 		Counter:  none{},
+		Wall:     func() int64 { return time.Now().UnixMilli() },
 		jobs:     map[string]*job{},
 		runners:  map[string]*runner{},
 		ledger:   ledger{flights: map[int64]*flight{}},
@@ -166,12 +169,14 @@
 		return
 	}
 	c.settleInheritance(now)
+	c.occur(now)
 	for _, j := range c.jobs {
 		j.answerLate(now)
 	}
 	for _, r := range c.sorted {
 		c.tend(r, now)
 	}
+	c.mendGangs(now)
 	c.stall(now)
 	c.report(now)
 	c.ended.sweep(now, c.Settings.Keep, c.expire)
--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -37,6 +37,11 @@
 		if i%11 == 5 {
 			j.Spec = "poison"
 		}
+		j.Steps[0].Gang = i%5 == 3
+		j.Steps[0].Checkpoint = i%7 == 2
+		if i%10 == 8 && !j.Transient {
+			j.Repeat, j.First, j.Interval = 2, w.now.Add(over/2).UnixMilli(), 700
+		}
 		w.after(over*time.Duration(i)/time.Duration(jobs), func() { w.submit(j) })
 	}
 }
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -28,6 +28,9 @@
 		if c.start(now, j, usable) {
 			usable = slices.DeleteFunc(usable, func(r *runner) bool { return r.free().CPU < least })
 		}
+		if c.reserves(now, j) {
+			break
+		}
 		if j.ready > 0 {
 			i++
 			continue
@@ -64,6 +67,14 @@
 func (c *Cell) start(now time.Time, j *job, usable []*runner) bool {
 	started := false
 	for s := range j.tasks {
+		if !slices.ContainsFunc(j.tasks[s], func(t *task) bool { return t.ready }) {
+			continue
+		}
+		c.rack = c.rackFor(j, s, usable)
+		if g := j.gang(s); g != nil {
+			started = c.startGang(now, g, usable) || started
+			continue
+		}
 		for _, t := range j.tasks[s] {
 			if !t.ready {
 				continue
@@ -79,6 +90,32 @@
 	return started
 }
 
+// rackFor returns the rack on which the tasks of a step should be together: that of
+// those that run, else the one with most places; empty if it does not matter.
+func (c *Cell) rackFor(j *job, step int, usable []*runner) string {
+	if !j.spec(step).Colocate {
+		return ""
+	}
+	for _, t := range j.tasks[step] {
+		if t.run != nil && t.run.runner.Rack != "" {
+			return t.run.runner.Rack
+		}
+	}
+	n := need(j.spec(step))
+	places := map[string]int{}
+	best := ""
+	for _, r := range usable {
+		if r.Rack == "" || r.Service != j.Queue.Service {
+			continue
+		}
+		places[r.Rack] += r.free().times(n)
+		if places[r.Rack] > places[best] {
+			best = r.Rack
+		}
+	}
+	return best
+}
+
 // choose returns the runner for t, or nil if it fits nowhere: the slowest of those
 // that would end it in time, else the fastest.
 func (c *Cell) choose(now time.Time, t *task, usable []*runner) *runner {
@@ -110,7 +147,7 @@
 	}
 	rest := r.free().less(n)
 	score -= float64(rest.CPU%max(n.CPU, 1)) / float64(max(r.Room.CPU, 1)) * 0.5
-	if t.spec().Rack != "" && slices.Contains(r.Labels, t.spec().Rack) {
+	if rack := t.spec().Rack; (rack != "" && slices.Contains(r.Labels, rack)) || (c.rack != "" && r.Rack == c.rack) {
 		score += 5
 	}
 	if r.health.streak > 0 {
@@ -131,7 +168,7 @@
 	if s.Label != "" && !slices.Contains(r.Labels, s.Label) {
 		return false
 	}
-	if r.health.streak > 0 && len(r.runs) > 0 {
+	if r.health.streak > 0 && len(r.runs)+r.planned > 0 {
 		return false // one at a time until it has done one
 	}
 	if s.Spread > 0 {
@@ -141,7 +178,7 @@
 				count++
 			}
 		}
-		return count < s.Spread
+		return count+r.planned < s.Spread
 	}
 	return true
 }
@@ -154,6 +191,7 @@
 	}
 	t.last = max(t.last, t.floor) + 1
 	x := &run{key: runKey{t.name(), t.last}, task: t, runner: r, room: need(t.spec()), token: r.token, sent: now}
+	x.resumed = t.saved.value != ""
 	t.run, t.ready = x, false
 	t.job.ready--
 	r.runs[x.key] = x
@@ -163,10 +201,11 @@
 		r.asked = now
 	}
 	c.Counter.Count("starts", 1)
-	c.log("event", "start", "job", t.job.ID, "task", t.index, "run", t.last, "runner", r.ID, "waited", now.Sub(t.job.arrived),
+	c.log("event", "start", "job", t.job.ID, "step", t.step, "task", t.index, "run", t.last, "runner", r.ID, "waited", now.Sub(t.job.arrived),
 		"left", t.job.due.Sub(now), "speed", r.speed.rate, "free", r.free().CPU)
 	c.Orders.Start(r.target(), order.Start{
 		Task: x.key.task, Run: x.key.run, Spec: t.job.Spec, Deadline: deadline, Token: r.token,
+		Saved: t.saved.value,
 	})
 }
 
--- a/core/cell/ends.go
+++ b/core/cell/ends.go
@@ -60,9 +60,14 @@
 	if x != nil {
 		c.learn(now, x, e.How)
 	}
+	if t != nil {
+		t.save(e.Run, e.Saved)
+	}
 	switch {
 	case t == nil || j.state.Ended():
 		c.drop(x, ref)
+	case t.spec().Lasting:
+		c.lasted(now, t, x, e, ref)
 	case e.How == order.Finished:
 		c.done(now, t, x, e, ref)
 	case e.How == order.Failed:
@@ -72,8 +77,45 @@
 			c.log("event", "interrupted", "runner", r.ID, "job", e.Task.Job, "task", e.Task.Index, "run", e.Run, "how", string(e.How))
 		}
 		t.last = max(t.last, e.Run)
-		c.drop(x, ref)
+		if e.Saved == "" {
+			c.drop(x, ref)
+			return
+		}
+		if x != nil {
+			c.release(x)
+		}
+		c.hold(j, ref)
+	}
+}
+
+// save notes a checkpoint of a run.
+func (t *task) save(run int, value string) {
+	if value == "" || !t.spec().Checkpoint {
+		return
+	}
+	for _, m := range t.members() { // the checkpoint of a member is that of its gang
+		if run >= m.saved.run {
+			m.saved = checkpoint{run: run, value: value}
+		}
+	}
+}
+
+// startup is how soon after its start the failure of a task that lasts is held against
+// its runner. Later ones are the task's own.
+const startup = time.Second
+
+// lasted takes the end of a run that should have lasted. The task is started again,
+// elsewhere if it failed.
+func (c *Cell) lasted(now time.Time, t *task, x *run, e order.End, ref endRef) {
+	t.last = max(t.last, e.Run)
+	if e.How == order.Failed {
+		t.tried = []*runner{ref.runner}
+		if x != nil && now.Sub(x.sent) < startup {
+			ref.runner.health.failed(now)
+		}
 	}
+	c.log("event", "lasted", "job", t.job.ID, "step", t.step, "task", t.index, "run", e.Run, "runner", ref.runner.ID, "how", string(e.How))
+	c.drop(x, ref)
 }
 
 // drop takes an end that changes no job.
@@ -87,16 +129,24 @@
 // done takes the end of a run that did its work. One of a run that was given up
 // counts as long as the task has not been started again.
 func (c *Cell) done(now time.Time, t *task, x *run, e order.End, ref endRef) {
+	j := t.job
+	if t.done && t.spec().Gang {
+		if x != nil {
+			c.release(x)
+		}
+		c.hold(j, ref)
+		return
+	}
 	if t.done || e.Run < t.last {
 		c.drop(x, ref)
 		return
 	}
-	j := t.job
 	t.last, t.done = e.Run, true
 	if x != nil {
 		c.release(x)
 	}
 	j.open[t.step]--
+	c.finishedGang(t, e)
 	c.hold(j, ref)
 	j.refresh()
 	c.enlist(j)
@@ -123,11 +173,19 @@
 		c.release(x)
 	}
 	c.hold(j, ref)
-	if len(t.fails) >= max(j.Queue.Attempts, 1) {
+	if t.failures() >= max(j.Queue.Attempts, 1) {
 		c.finish(now, j, work.Failed)
 	}
 }
 
+// failures returns how many runs of t, or of its gang, have failed.
+func (t *task) failures() int {
+	if g := t.job.gang(t.step); g != nil {
+		return g.failures()
+	}
+	return len(t.fails)
+}
+
 // hold keeps an end from being acknowledged until the rows hold what follows from it.
 func (c *Cell) hold(j *job, ref endRef) {
 	if j.Transient {
--- a/core/cell/health.go
+++ b/core/cell/health.go
@@ -82,7 +82,7 @@
 
 // expected returns the time of a task on a runner of speed one.
 func (c *Cell) expected(j *job, step int) float64 {
-	estimate := float64(max(j.Steps[step].Estimate, 1))
+	estimate := float64(max(j.spec(step).Estimate, 1))
 	q := c.times.queues[j.Queue.Name]
 	if q == nil || q.n < 20 {
 		return estimate
@@ -96,6 +96,9 @@
 		return
 	}
 	x.runner.health.succeeded()
+	if x.task.spec().Lasting || x.resumed {
+		return
+	}
 	took := max(milliseconds(now.Sub(x.answered)), 1)
 	j := x.task.job
 	x.runner.speed.learn(c.expected(j, x.task.step) / took)
@@ -117,7 +120,7 @@
 
 // watch stops a run that stands still.
 func (c *Cell) watch(now time.Time, x *run) {
-	if x.task == nil || !x.stopping.IsZero() || x.answered.IsZero() || c.resting {
+	if x.task == nil || !x.stopping.IsZero() || x.answered.IsZero() || c.resting || x.task.spec().Lasting {
 		return
 	}
 	took := now.Sub(x.answered)
--- a/core/cell/hold.go
+++ b/core/cell/hold.go
@@ -60,12 +60,7 @@
 	if r.token == 0 || (!r.listed && len(r.runs) == 0) {
 		return
 	}
-	unanswered := r.look != 0 && now.Sub(r.looked) > c.answerTime(r)
-	refused := r.look == 0 && !r.asked.IsZero()
-	if (unanswered || refused) && now.After(r.next) {
-		r.next = now.Add(probePause)
-		c.probe(now, r, 0)
-	}
+	c.ask(now, r)
 	if !r.fenced {
 		if !c.loaded && r.look == 0 && now.Sub(r.looked) > c.Settings.Lease/4 {
 			c.probe(now, r, 0)
@@ -87,6 +82,16 @@
 	c.giveUp(now, r)
 }
 
+// ask asks a runner again that has not answered an order, or whose last hold failed.
+func (c *Cell) ask(now time.Time, r *runner) {
+	unanswered := r.look != 0 && now.Sub(r.looked) > c.answerTime(r)
+	failed := r.look == 0 && !r.asked.IsZero()
+	if (unanswered || failed) && now.After(r.next) {
+		r.next = now.Add(probePause)
+		c.probe(now, r, 0)
+	}
+}
+
 // mayPoll reports whether a hold that waits would do so. While ends are not
 // acknowledged a runner answers at once.
 func (c *Cell) mayPoll(now time.Time, r *runner) bool {
@@ -197,6 +202,9 @@
 			x.moved = now
 		}
 		x.seen, x.percent = now, a.Percent
+		if x.task != nil {
+			x.task.save(a.Run, a.Saved)
+		}
 	}
 }
 
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"gypsumward/core/work"
@@ -38,14 +39,17 @@
 	arrived time.Time
 	due     time.Time // after which its answer is late
 	state   work.State
-	tasks   [][]*task
-	open    []int // tasks of each step that are not done
-	ready   int   // tasks that may be started now
-	failed  int   // ends that failed
+	tasks   [][]*task // by step of each occurrence in turn
+	open    []int     // tasks of each step that are not done
+	ready   int       // tasks that may be started now
+	failed  int       // ends that failed
 	blamed  []*runner
 	row     jobRow
 
-	unsettled []endRef // ends that the rows do not hold yet
+	unsettled []endRef  // ends that the rows do not hold yet
+	occurring int       // occurrences whose time has come
+	gangs     bool      // a step is one
+	blocked   time.Time // since when a gang does not fit; zero if none waits
 
 	inherited bool
 	listed    bool // in Cell.ready
@@ -70,7 +74,7 @@
 // task is one task of a job.
 type task struct {
 	job   *job
-	step  int
+	step  int // of job.tasks
 	index int
 	last  int   // highest run known
 	floor int   // below the numbers of runs that this holder starts
@@ -79,46 +83,70 @@
 	ready bool // may be started
 	run   *run // that may be alive
 	tried []*runner
+	saved checkpoint
+}
+
+// checkpoint is where a later run of a task may go on.
+type checkpoint struct {
+	run   int // that wrote it
+	value string
 }
 
 func newJob(j work.Job, now time.Time) *job {
 	n := &job{Job: j, arrived: now, state: work.Queued}
-	n.tasks = make([][]*task, len(j.Steps))
-	n.open = make([]int, len(j.Steps))
-	for s := range j.Steps {
-		n.open[s] = j.Steps[s].Count
-		n.tasks[s] = make([]*task, j.Steps[s].Count)
+	steps := len(j.Steps) * j.Occurrences()
+	n.tasks = make([][]*task, steps)
+	n.open = make([]int, steps)
+	for s := range steps {
+		count := n.spec(s).Count
+		n.open[s] = count
+		n.tasks[s] = make([]*task, count)
 		for i := range n.tasks[s] {
 			n.tasks[s][i] = &task{job: n, step: s, index: i}
 		}
 	}
+	if j.Repeat == 0 {
+		n.occurring = 1
+	}
+	n.gangs = slices.ContainsFunc(j.Steps, func(s work.Step) bool { return s.Gang })
 	return n
 }
 
+// spec returns what was asked for in a step of job.tasks.
+func (j *job) spec(step int) *work.Step {
+	return &j.Steps[step%len(j.Steps)]
+}
+
 // task returns the task of a name, or nil.
 func (j *job) task(name work.Task) *task {
-	if name.Occurrence != 0 || name.Step < 0 || name.Step >= len(j.tasks) {
+	if name.Occurrence < 0 || name.Step < 0 || name.Step >= len(j.Steps) {
 		return nil
 	}
-	step := j.tasks[name.Step]
-	if name.Index < 0 || name.Index >= len(step) {
+	at := name.Occurrence*len(j.Steps) + name.Step
+	if at >= len(j.tasks) || name.Index < 0 || name.Index >= len(j.tasks[at]) {
 		return nil
 	}
-	return step[name.Index]
+	return j.tasks[at][name.Index]
 }
 
 func (t *task) name() work.Task {
-	return work.Task{Job: t.job.ID, Step: t.step, Index: t.index}
+	steps := len(t.job.Steps)
+	return work.Task{Job: t.job.ID, Occurrence: t.step / steps, Step: t.step % steps, Index: t.index}
 }
 
 func (t *task) spec() *work.Step {
-	return &t.job.Steps[t.step]
+	return t.job.spec(t.step)
 }
 
-// due reports whether all steps before step are done.
+// turn reports whether all steps before step are done, and its time has come.
 func (j *job) turn(step int) bool {
-	for _, a := range j.Steps[step].After {
-		if j.open[a] > 0 {
+	steps := len(j.Steps)
+	if step/steps >= j.occurring {
+		return false
+	}
+	first := step - step%steps
+	for _, a := range j.spec(step).After {
+		if j.open[first+a] > 0 {
 			return false
 		}
 	}
@@ -176,6 +204,11 @@
 	j.asked = nil
 }
 
+// brief reports whether the end of j may be near once all tasks have been started.
+func (j *job) brief() bool {
+	return j.occurring == j.Occurrences() && !j.Lasting()
+}
+
 // question is a question for the state of a job.
 type question struct {
 	at   time.Time
--- a/core/cell/ledger.go
+++ b/core/cell/ledger.go
@@ -41,10 +41,20 @@
 // doubtful is how long writes fail until new jobs are refused.
 const doubtful = 300 * time.Millisecond
 
-// Progress is the row of what is done of a job.
+// Progress is the row of what is done of a job. Steps are counted through all
+// occurrences.
 type Progress struct {
 	Done  [][]int      `json:"done"`            // by step, the tasks that are done
 	Fails []TaskFailed `json:"fails,omitempty"` // tasks that have failed
+	Saved []TaskSaved  `json:"saved,omitempty"` // checkpoints of tasks that are not done
+}
+
+// TaskSaved is the checkpoint of a task.
+type TaskSaved struct {
+	Step  int    `json:"step"`
+	Index int    `json:"index"`
+	Run   int    `json:"run"`
+	Value string `json:"value"`
 }
 
 // TaskFailed is a task of which runs have failed. They may be listed in any order, and
@@ -221,6 +231,9 @@
 			if t.done {
 				p.Done[s] = append(p.Done[s], i)
 			}
+			if t.saved.value != "" && !t.done {
+				p.Saved = append(p.Saved, TaskSaved{Step: s, Index: i, Run: t.saved.run, Value: t.saved.value})
+			}
 			if len(t.fails) > 0 {
 				p.Fails = append(p.Fails, TaskFailed{Step: s, Index: i, Runs: t.fails})
 			}
--- a/core/cell/listing.go
+++ b/core/cell/listing.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -25,12 +26,24 @@
 	return Room{CPU: r.CPU + n.CPU, Memory: r.Memory + n.Memory, GPU: r.GPU + n.GPU}
 }
 
+// times returns how often n fits.
+func (r Room) times(n Room) int {
+	fits := math.MaxInt32
+	for _, part := range [...][2]int{{r.CPU, n.CPU}, {r.Memory, n.Memory}, {r.GPU, n.GPU}} {
+		if part[1] > 0 {
+			fits = min(fits, max(part[0], 0)/part[1])
+		}
+	}
+	return fits
+}
+
 // Listing is what the directory says of a runner.
 type Listing struct {
 	ID      string
 	Addr    string
 	Service string
 	Zone    string
+	Rack    string
 	Labels  []string
 	Leaving bool
 	Born    int64
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -67,8 +67,7 @@
 	j := newJob(w, now)
 	j.inherited = true
 	j.row.stored, j.row.job = true, row.Version
-	chain := j.Chain(func(step int) float64 { return c.expected(j, step) })
-	j.due = now.Add(span(j.Queue.Stretch*chain + float64(j.Queue.Target)))
+	j.due = now.Add(c.allowed(j))
 	for s := range j.tasks {
 		for _, t := range j.tasks[s] {
 			t.floor = (c.Tenure.Round - 1) * roundRuns
@@ -98,17 +97,30 @@
 	}
 	for s, done := range p.Done {
 		for _, i := range done {
-			if t := j.task(work.Task{Job: j.ID, Step: s, Index: i}); t != nil && !t.done {
+			if t := j.at(s, i); t != nil && !t.done {
 				t.done = true
 				j.open[s]--
 			}
 		}
 	}
 	for _, f := range p.Fails {
-		if t := j.task(work.Task{Job: j.ID, Step: f.Step, Index: f.Index}); t != nil {
+		if t := j.at(f.Step, f.Index); t != nil {
 			t.fails = f.Runs
 		}
 	}
+	for _, v := range p.Saved {
+		if t := j.at(v.Step, v.Index); t != nil {
+			t.save(v.Run, v.Value)
+		}
+	}
+}
+
+// at returns a task of job.tasks, or nil.
+func (j *job) at(step, index int) *task {
+	if step < 0 || step >= len(j.tasks) || index < 0 || index >= len(j.tasks[step]) {
+		return nil
+	}
+	return j.tasks[step][index]
 }
 
 // Message is something that came in for a cell.
--- a/core/cell/run.go
+++ b/core/cell/run.go
@@ -27,6 +27,7 @@
 	moved    time.Time // when percent last changed
 	stopping time.Time // when a stop was sent; zero if none was
 	stray    bool      // its size is not known
+	resumed  bool      // it goes on from a checkpoint
 }
 
 // tendRuns looks after starts and stops without answer.
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -26,22 +26,23 @@
 // runner is what is known of one runner.
 type runner struct {
 	Listing
-	listed bool
-	life   int64 // born
-	issued int64 // tokens used so far
-	token  int64
-	fenced bool // it has answered under the token
-	synced bool // it has answered under a token of this holder, so no earlier order is left
-	clock  int64
-	seen   time.Time // when clock was taken, and the last answer
-	asked  time.Time // when the oldest order without answer was given; zero if none is
-	until  int64     // highest deadline in any order
-	acked  int64
-	based  bool // acked is that of the first end listed in this life, or above
-	ends   map[int64]bool
-	runs   map[runKey]*run
-	used   Room
-	strays int // runs without a task
+	listed  bool
+	life    int64 // born
+	issued  int64 // tokens used so far
+	token   int64
+	fenced  bool // it has answered under the token
+	synced  bool // it has answered under a token of this holder, so no earlier order is left
+	clock   int64
+	seen    time.Time // when clock was taken, and the last answer
+	asked   time.Time // when the oldest order without answer was given; zero if none is
+	until   int64     // highest deadline in any order
+	acked   int64
+	based   bool // acked is that of the first end listed in this life, or above
+	ends    map[int64]bool
+	runs    map[runKey]*run
+	used    Room
+	planned int // members of the gang that is being placed
+	strays  int // runs without a task
 
 	poll, look int64 // tickets of open holds, that wait and that do not
 	polled     time.Time
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -146,7 +146,7 @@
 		told(f.state)
 	case j == nil || !j.row.stored:
 		told(work.Unknown)
-	case j.state.Ended() || (j.begun() && j.ready == 0):
+	case j.state.Ended() || (j.begun() && j.ready == 0 && j.brief()):
 		j.asked = append(j.asked, question{at: now, told: told})
 	case j.begun():
 		told(work.Running)
@@ -198,7 +198,7 @@
 	for _, step := range j.tasks {
 		for _, t := range step {
 			t.ready = false
-			if t.run != nil {
+			if t.run != nil && !t.done {
 				c.stop(now, t.run, "job "+string(state))
 			}
 		}
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"gypsumward/core/cell"
+	"gypsumward/core/daytime"
 	"gypsumward/core/order"
 	"gypsumward/core/steady"
 	"gypsumward/core/table"
@@ -80,6 +81,7 @@
 	l.cell = cell.New(cell.Tenure{Name: name, Epoch: t.Epoch, Round: t.Round, Runners: t.Runners, Grace: t.Grace}, s, clock.Now())
 	l.cell.Log, l.cell.Counter = logger, counter
 	l.cell.Orders, l.cell.Store = orders{l}, writes{l}
+	l.cell.Wall = (&daytime.Clock{Steady: clock.Now, Wall: time.Now}).Now
 	return l
 }
 
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -19,6 +19,7 @@
 	Spec     string
 	Deadline int64 // until which all that the runner does is leased
 	Token    int64
+	Saved    string // checkpoint from which the run goes on; empty if there is none
 }
 
 // Stop ends a run of a task.
@@ -85,14 +86,16 @@
 	Task    work.Task
 	Run     int
 	Percent float64
+	Saved   string // last checkpoint, if any
 }
 
 // End is a run that has ended. N counts the ends of one life of a runner from 1.
 type End struct {
-	N    int64
-	Task work.Task
-	Run  int
-	How  How
+	N     int64
+	Task  work.Task
+	Run   int
+	How   How
+	Saved string // last checkpoint, if any
 }
 
 // Held is the answer to a Hold. Born tells the lives of a runner apart.
--- a/core/work/job.go
+++ b/core/work/job.go
@@ -5,7 +5,7 @@
 // Limits of a job.
 const (
 	MaxSteps = 64
-	MaxTasks = 2000    // of all steps together
+	MaxTasks = 4000    // of all steps and occurrences together
 	MaxSpec  = 4000    // bytes
 	MaxCPU   = 1 << 20 // thousandths of a core, of one task
 )
@@ -21,19 +21,12 @@
 	// Transient means that the job is not stored: its caller waits for its end and
 	// hands it in again if no answer comes.
 	Transient bool `json:"transient,omitempty"`
-}
 
-// Step is a number of equal tasks.
-type Step struct {
-	Count    int    `json:"count"`
-	CPU      int    `json:"cpu,omitempty"`      // thousandths of a core, of each task
-	Memory   int    `json:"memory,omitempty"`   // megabytes, of each task
-	GPU      int    `json:"gpu,omitempty"`      // of each task
-	Estimate int    `json:"estimate,omitempty"` // milliseconds; a rough guess
-	After    []int  `json:"after,omitempty"`    // earlier steps that must be done
-	Label    string `json:"label,omitempty"`    // that the runner must have
-	Rack     string `json:"rack,omitempty"`     // that is preferred
-	Spread   int    `json:"spread,omitempty"`   // most tasks of the step on one runner; zero means any
+	// Repeat is how many times the steps run; zero means once, as soon as the job is
+	// taken. Occurrence K, from 0, is due at First + K x Interval.
+	Repeat   int   `json:"repeat,omitempty"`
+	First    int64 `json:"first,omitempty"`    // milliseconds since 1970
+	Interval int64 `json:"interval,omitempty"` // milliseconds
 }
 
 // Task names one task of a job.
@@ -63,28 +56,40 @@
 		}
 		total += s.Count
 	}
-	if total > MaxTasks {
-		return errors.Errorf("%d tasks, at most %d", total, MaxTasks)
+	if j.Repeat < 0 || j.First < 0 || j.Interval < 0 {
+		return errors.New("a time of an occurrence is out of range")
+	}
+	if n := total * j.Occurrences(); n > MaxTasks {
+		return errors.Errorf("%d tasks, at most %d", n, MaxTasks)
 	}
 	return nil
 }
 
-func (s *Step) check(index int) error {
-	if s.Count < 1 || s.Count > MaxTasks {
-		return errors.Errorf("step %d: %d tasks", index, s.Count)
-	}
-	if s.CPU < 0 || s.CPU > MaxCPU || s.Memory < 0 || s.GPU < 0 || s.Estimate < 0 || s.Spread < 0 {
-		return errors.Errorf("step %d: a size is out of range", index)
+// Occurrences returns how many times the steps run.
+func (j *Job) Occurrences() int {
+	return max(j.Repeat, 1)
+}
+
+// Due returns when an occurrence is due, in milliseconds since 1970; zero for a job
+// that is not scheduled.
+func (j *Job) Due(occurrence int) int64 {
+	if j.Repeat == 0 {
+		return 0
 	}
-	for _, a := range s.After {
-		if a < 0 || a >= index {
-			return errors.Errorf("step %d: after step %d, which is no earlier one", index, a)
+	return j.First + int64(occurrence)*j.Interval
+}
+
+// Lasting reports whether a step of j runs until the job is cancelled.
+func (j *Job) Lasting() bool {
+	for i := range j.Steps {
+		if j.Steps[i].Lasting {
+			return true
 		}
 	}
-	return nil
+	return false
 }
 
-// Tasks returns the number of tasks of all steps.
+// Tasks returns the number of tasks of all steps, of one occurrence.
 func (j *Job) Tasks() int {
 	total := 0
 	for i := range j.Steps {
