promise, tenure, front: go on without the store for longer, and claim only past all beats

Ruled out: a quorum of instances that grant tenure (two of eight that survive could not go on, and it would be a consensus group of ours). That the store is silent for others too cannot be seen by their watch: only writes of one part failed here.

Change: an instance that hears from the holder while the store shows no signs of life of it promises not to replace it for 6 s, else 0.8 s as before. It tells so in the next greeting by the stamp of the answer, so that a greeting that was held up by a cut gives the holder nothing; until now one that came late counted from when it came. A new life of an instance keeps what a former one may have promised. A claim requires the sign of life that was seen last. Cost: a holder that dies after the store has failed for 0.9 s is replaced up to 6 s after it was last heard.

Tests, failed first: TestReturnToBeat.

--- a/core/front/front.go
+++ b/core/front/front.go
@@ -13,6 +13,7 @@
 	"gypsumward/core/cell"
 	"gypsumward/core/lead"
 	"gypsumward/core/peer"
+	"gypsumward/core/promise"
 	"gypsumward/core/span"
 	"gypsumward/core/table"
 	"gypsumward/core/tenure"
@@ -36,8 +37,6 @@
 	retryPause = 10 * time.Millisecond
 	helloEvery = 200 * time.Millisecond
 	helloLife  = 700 * time.Millisecond
-	helloLease = 600 * time.Millisecond // for which a greeting counts at the holder
-	peerLife   = 10 * time.Second       // for which a peer that is silent may still become the holder
 	comeBack   = time.Second
 	readTime   = 500 * time.Millisecond
 )
@@ -67,13 +66,8 @@
 	running sync.WaitGroup
 	mu      sync.Mutex
 	lead    *lead.Lead
-	peers   map[string]heard // by node
-	heard   time.Time        // last answer to a hello
-}
-
-type heard struct {
-	member tenure.Member
-	at     time.Time
+	ledger  promise.Ledger // what the others have promised
+	given   promise.Given  // to the holder
 }
 
 // Mount registers the methods between instances.
@@ -144,10 +138,6 @@
 	Count int        `json:"count,omitempty"`
 }
 
-type greeting struct {
-	Leading bool `json:"leading"`
-}
-
 // over makes an error of a lead that of a call whose outcome is open.
 func over(err error) error {
 	if err == nil {
@@ -171,49 +161,12 @@
 	return f.lead, nil
 }
 
-func (f *Front) hello(_ context.Context, m tenure.Member) (greeting, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.peers == nil {
-		f.peers = map[string]heard{}
-	}
-	now := f.Clock.Now()
-	f.peers[m.Node] = heard{member: m, at: now}
-	if f.lead == nil {
-		return greeting{}, nil
-	}
-	if until, ok := f.promised(now); ok {
-		f.lead.Renew(until)
-	}
-	return greeting{Leading: true}, nil
-}
-
-// promised returns until when no peer that was heard lately becomes the holder: each
-// waits for a while after its last answered greeting.
-func (f *Front) promised(now time.Time) (until time.Time, ok bool) {
-	for node, h := range f.peers {
-		if now.Sub(h.at) > peerLife {
-			delete(f.peers, node)
-			continue
-		}
-		if end := h.at.Add(helloLease); !ok || end.Before(until) {
-			until, ok = end, true
-		}
-	}
-	return until, ok && until.After(now)
-}
-
-// Heard returns when the holder last answered a greeting.
-func (f *Front) Heard() time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.heard
-}
-
 // Run greets the holder until ctx ends. Leads end with it.
 func (f *Front) Run(ctx context.Context) {
 	f.mu.Lock()
 	f.ctx = ctx
+	f.ledger.Life = f.Self.Life
+	f.given.Begin(f.Clock.Now())
 	f.mu.Unlock()
 	ticker := time.NewTicker(helloEvery)
 	defer ticker.Stop()
@@ -228,21 +181,6 @@
 	}
 }
 
-func (f *Front) greet(ctx context.Context) {
-	h, version, self := f.Keeper.Holder()
-	if version == 0 || self || h.Addr == "" {
-		return
-	}
-	limited, cancel := context.WithTimeout(ctx, tryTime)
-	defer cancel()
-	var g greeting
-	if f.Client.Call(limited, h.Addr, methodHello, f.Self, &g) == nil && g.Leading {
-		f.mu.Lock()
-		f.heard = f.Clock.Now()
-		f.mu.Unlock()
-	}
-}
-
 // Lead begins a term.
 func (f *Front) Lead(t tenure.Term) {
 	l := f.Begin(t)
@@ -297,25 +235,17 @@
 // Successor returns the member heard lately that started last, which is the least
 // likely to be replaced next. Ok is false if none was heard.
 func (f *Front) Successor() (m tenure.Member, ok bool) {
-	now := f.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, h := range f.peers {
-		if now.Sub(h.at) > helloLife || h.member.Node == f.Self.Node {
-			continue
-		}
-		if !ok || h.member.Since > m.Since {
-			m, ok = h.member, true
-		}
-	}
-	return m, ok
+	return f.ledger.Latest(f.Clock.Now(), helloLife)
 }
 
 // Connected reports whether this instance is the holder or was answered by it lately.
 func (f *Front) Connected() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.lead != nil || (!f.heard.IsZero() && f.Clock.Now().Sub(f.heard) < helloLife)
+	at := f.given.Answered()
+	return f.lead != nil || (!at.IsZero() && f.Clock.Now().Sub(at) < helloLife)
 }
 
 // try calls a method of the holder once, or do if this instance is it. Open is true
--- /dev/null
+++ b/core/promise/ledger.go
@@ -0,0 +1,73 @@
+package promise
+
+import (
+	"time"
+
+	"gypsumward/core/tenure"
+)
+
+// peerLife is for how long a silent peer may still become the holder. One that is
+// silent for longer is taken to be gone.
+const peerLife = 10 * time.Second
+
+// Ledger is what others have promised the instance of a life. Its field is set before
+// the first call.
+type Ledger struct {
+	Life string
+
+	peers map[string]entry // by node
+}
+
+// entry is a peer that has greeted this instance.
+type entry struct {
+	member tenure.Member
+	at     time.Time
+	until  time.Time // it becomes the holder no sooner; zero if it has promised nothing
+}
+
+// Take takes a greeting that came at now.
+func (l *Ledger) Take(now time.Time, g Greeting) {
+	if l.peers == nil {
+		l.peers = map[string]entry{}
+	}
+	e := entry{member: g.Member, at: now}
+	if former := l.peers[g.Node]; former.member.Life == g.Life {
+		e.until = former.until
+	}
+	if g.Holder == l.Life && g.Stamp != 0 {
+		length := g.Length.Duration()
+		if end := time.Unix(0, g.Stamp).Add(length - length/drift); end.After(e.until) {
+			e.until = end
+		}
+	}
+	l.peers[g.Node] = e
+}
+
+// Until returns until when no peer that was heard lately becomes the holder. Ok is
+// false if one may do so now, or none was heard.
+func (l *Ledger) Until(now time.Time) (until time.Time, ok bool) {
+	for node, e := range l.peers {
+		if now.Sub(e.at) > peerLife {
+			delete(l.peers, node)
+			continue
+		}
+		if !ok || e.until.Before(until) {
+			until, ok = e.until, true
+		}
+	}
+	return until, ok && until.After(now)
+}
+
+// Latest returns the peer heard within a time that started last. Ok is false if none
+// was heard.
+func (l *Ledger) Latest(now time.Time, within time.Duration) (m tenure.Member, ok bool) {
+	for _, e := range l.peers {
+		if now.Sub(e.at) > within {
+			continue
+		}
+		if !ok || e.member.Since > m.Since {
+			m, ok = e.member, true
+		}
+	}
+	return m, ok
+}
--- a/core/tenure/keeper.go
+++ b/core/tenure/keeper.go
@@ -22,7 +22,6 @@
 	DefaultTimeout = 700 * time.Millisecond
 	DefaultWatch   = time.Second
 	DefaultProbe   = 100 * time.Millisecond
-	DefaultHeard   = 800 * time.Millisecond
 	step           = 25 * time.Millisecond
 	jitter         = 60 * time.Millisecond
 )
@@ -35,7 +34,6 @@
 	Timeout time.Duration // for a call of the store
 	Watch   time.Duration // for which the store waits for a change
 	Probe   time.Duration // between looks whether the holder listens
-	Heard   time.Duration // after an answer of the holder, for which it is not replaced
 }
 
 func (s Settings) withDefaults() Settings {
@@ -50,7 +48,6 @@
 	set(&s.Timeout, DefaultTimeout)
 	set(&s.Watch, DefaultWatch)
 	set(&s.Probe, DefaultProbe)
-	set(&s.Heard, DefaultHeard)
 	return s
 }
 
@@ -121,14 +118,15 @@
 	Log      log.Logger
 	// Refuses reports whether nothing listens at an address, as opposed to no answer.
 	Refuses func(ctx context.Context, addr string) bool
-	// Heard returns when the holder last answered a greeting of this instance. It is not
-	// replaced for Settings.Heard after that.
-	Heard func() time.Time
+	// Promised returns until when this instance has promised the holder not to replace
+	// it while it may be alive.
+	Promised func() time.Time
 
 	mu      sync.Mutex
 	holder  Holder
 	version int64 // of the row; zero if there is none
 	beat    Beat
+	beatRow int64 // version of the row of the beat; zero if there is none
 	seen    time.Time // last sign of life
 	healthy time.Time // since when the watch was answered
 	known   bool      // the rows have been read
@@ -222,6 +220,7 @@
 			if json.Unmarshal(r.Value, &b) == nil && b != k.beat {
 				k.beat, k.seen = b, now
 			}
+			k.beatRow = max(k.beatRow, r.Version)
 		}
 	}
 }
@@ -296,11 +295,11 @@
 	probed, refused := time.Time{}, time.Time{}
 	for ctx.Err() == nil {
 		steady.Sleep(ctx, step)
-		heard := k.Heard()
+		promised := k.Promised()
 		now := k.Clock.Now()
 		k.mu.Lock()
 		idle := !k.known || k.leading || k.retired
-		holder, version, seen, stale := k.holder, k.version, k.seen, k.staleAt(now) && now.Sub(heard) > k.Settings.Heard
+		holder, version, seen, stale := k.holder, k.version, k.seen, k.staleAt(now) && now.After(promised)
 		k.mu.Unlock()
 		if idle {
 			continue
@@ -322,7 +321,7 @@
 				refused = now
 			case now.Sub(refused) > k.Settings.Beat+k.Settings.Beat/10:
 				// A link that is cut may refuse too, so the holder may be alive.
-				why, grace = "nothing listens there and no sign of life", k.Settings.Lease
+				why, grace = "nothing listens there and no sign of life", max(k.Settings.Lease, promised.Sub(now))
 			}
 		}
 		if why != "" {
@@ -332,30 +331,45 @@
 	}
 }
 
+// BeatSeen reports whether the store lately showed a sign of life of the holder. If it
+// did not, nobody may be able to replace the holder.
+func (k *Keeper) BeatSeen() bool {
+	now := k.Clock.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.healthy.IsZero() && now.Sub(k.seen) < beatsMissed*k.Settings.Beat
+}
+
+// beatsMissed is how many signs of life may be missing until the way by the store
+// counts as broken.
+const beatsMissed = 3
+
 // staleAt reports whether the holder has given no sign of life for long.
 func (k *Keeper) staleAt(now time.Time) bool {
 	return !k.healthy.IsZero() && now.Sub(k.seen) > k.Settings.Stale && now.Sub(k.healthy) > k.Settings.Stale
 }
 
-// claim puts the own name if the row is still as it was.
+// claim puts the own name if the row is still as it was and no sign of life has come
+// that this instance has not seen.
 func (k *Keeper) claim(ctx context.Context, version int64, round int, why string, grace time.Duration) {
 	k.mu.Lock()
 	k.grace = grace
+	beat := table.Op{Key: k.key("beat"), If: k.beatRow, Check: true}
 	k.mu.Unlock()
 	_ = k.Log.Log("event", "claim", "why", why, "version", version, "round", round)
-	k.put(ctx, version, Holder{Member: k.Self, Round: round})
+	k.put(ctx, version, Holder{Member: k.Self, Round: round}, beat)
 }
 
-// put writes the row of the holder on the condition of its version. It reports
-// whether the row changed as asked.
-func (k *Keeper) put(ctx context.Context, version int64, h Holder) bool {
+// put writes the row of the holder on the condition of its version and of others. It
+// reports whether the row changed as asked.
+func (k *Keeper) put(ctx context.Context, version int64, h Holder, others ...table.Op) bool {
 	limited, cancel := context.WithTimeout(ctx, k.Settings.Timeout)
 	defer cancel()
 	sent := k.Clock.Now()
 	value := encode(h)
-	written, err := k.Store.Write(limited, table.Write{Ops: []table.Op{
+	written, err := k.Store.Write(limited, table.Write{Ops: append([]table.Op{
 		{Key: k.key("holder"), If: version, Value: value},
-	}})
+	}, others...)})
 	if err != nil {
 		return false
 	}
--- a/core/tenure/keeper_test.go
+++ b/core/tenure/keeper_test.go
@@ -128,7 +128,7 @@
 	led   []tenure.Term
 	lost  []string
 	until time.Time
-	heard time.Time
+	heard time.Time // when it last promised
 }
 
 func (m *member) Lead(t tenure.Term) {
@@ -149,10 +149,11 @@
 	m.lost = append(m.lost, why)
 }
 
-func (m *member) lastHeard() time.Time {
+// promised is for 800 ms after the last time that the member heard of the holder.
+func (m *member) promised() time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.heard
+	return m.heard.Add(800 * time.Millisecond)
 }
 
 func (m *member) hear() {
@@ -236,7 +237,7 @@
 		defer h.store.mu.Unlock()
 		return h.gone[addr]
 	}
-	k.Heard = m.lastHeard
+	k.Promised = m.promised
 	m.keeper = k
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
@@ -381,6 +382,76 @@
 	})
 }
 
+// TestReturnToBeat lets members that were cut off from the holder and the store come
+// back to the store first: the holder, whose signs of life they missed, stays.
+func TestReturnToBeat(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		h := newHall(t, "a", "b", "c", "d")
+		time.Sleep(3 * time.Second)
+		m := h.holder(t)
+		for _, other := range h.members {
+			if other != m {
+				h.turnAway(other.name, true)
+			}
+		}
+		h.leave(m.name)
+		time.Sleep(5 * time.Second)
+		for _, other := range h.members {
+			h.turnAway(other.name, false)
+		}
+		time.Sleep(2 * time.Second)
+		require.Same(t, m, h.holder(t))
+		require.Zero(t, m.losses())
+	})
+}
+
+// TestRefusedAfterPromise replaces a holder at whose address nothing listens by members
+// that have promised not to: the new one leaves it the time that was promised.
+func TestRefusedAfterPromise(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		h := newHall(t, "a", "b", "c")
+		time.Sleep(3 * time.Second)
+		m := h.holder(t)
+		for _, other := range h.members {
+			other.mu.Lock()
+			other.heard = time.Now().Add(5 * time.Second)
+			other.mu.Unlock()
+		}
+		m.stop()
+		delete(h.members, m.name)
+		h.leave(m.name)
+		time.Sleep(time.Second)
+		next := h.holder(t)
+		require.NotSame(t, m, next)
+		require.Greater(t, next.terms()[0].Grace, 4*time.Second)
+	})
+}
+
+// TestPromiseKept lets a silent holder stay until the promises of the others end.
+func TestPromiseKept(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		h := newHall(t, "a", "b", "c")
+		time.Sleep(3 * time.Second)
+		m := h.holder(t)
+		for _, other := range h.members {
+			other.mu.Lock()
+			other.heard = time.Now().Add(4200 * time.Millisecond)
+			other.mu.Unlock()
+		}
+		m.stop()
+		time.Sleep(4900 * time.Millisecond)
+		for _, other := range h.members {
+			require.True(t, other == m || len(other.terms()) == 0)
+		}
+		delete(h.members, m.name)
+		time.Sleep(time.Second)
+		require.NotNil(t, h.holder(t))
+	})
+}
+
 // TestRefusedBehindCut lets a cut refuse connections to a holder that is alive: it stays
 // while its signs of life come, and is given time when it is replaced.
 func TestRefusedBehindCut(t *testing.T) {
--- a/gypsumward/boot/follower_test.go
+++ b/gypsumward/boot/follower_test.go
@@ -36,17 +36,23 @@
 	}{
 		{"nothing changed", func() {}, false, "", 0, time.Second},
 		{"nothing changed, with a signal", func() {}, true, "event=reload asked=true applied= later=\n", 0, time.Second},
-		{"a silent change", func() { next.Lease = 700 * time.Millisecond }, false,
-			"event=reload asked=false applied=lease later=\n", 1, 700 * time.Millisecond},
+		{
+			"a silent change", func() { next.Lease = 700 * time.Millisecond }, false,
+			"event=reload asked=false applied=lease later=\n", 1, 700 * time.Millisecond,
+		},
 		{"looked at again", func() {}, false, "", 1, 700 * time.Millisecond},
-		{"an address and a bound", func() { next.Front, next.Grace = "10.0.0.2:80", 3*time.Second }, true,
-			"event=reload asked=true applied=grace later=front\n", 2, 700 * time.Millisecond},
+		{
+			"an address and a bound", func() { next.Front, next.Grace = "10.0.0.2:80", 3*time.Second }, true,
+			"event=reload asked=true applied=grace later=front\n", 2, 700 * time.Millisecond,
+		},
 		{"logged once", func() {}, false, "", 2, 700 * time.Millisecond},
 		{"unreadable", func() { fault = errors.New("line 3") }, false, "event=reload asked=false err=\"line 3\"\n", 2, 700 * time.Millisecond},
 		{"still unreadable", func() {}, false, "", 2, 700 * time.Millisecond},
 		{"unreadable, with a signal", func() {}, true, "event=reload asked=true err=\"line 3\"\n", 2, 700 * time.Millisecond},
-		{"readable again", func() { fault, next.Lease = nil, time.Second }, false,
-			"event=reload asked=false applied=lease later=front\n", 3, time.Second},
+		{
+			"readable again", func() { fault, next.Lease = nil, time.Second }, false,
+			"event=reload asked=false applied=lease later=front\n", 3, time.Second,
+		},
 	} {
 		test.do()
 		out.Reset()
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -94,7 +94,7 @@
 		Log: h.log, Begin: h.begin,
 	}
 	h.keeper.Self, h.keeper.Store, h.keeper.Clock = self, h.store, h.clock
-	h.keeper.Leader, h.keeper.Log, h.keeper.Refuses, h.keeper.Heard = h.front, h.log, refuses, h.front.Heard
+	h.keeper.Leader, h.keeper.Log, h.keeper.Refuses, h.keeper.Promised = h.front, h.log, refuses, h.front.Promised
 	h.runners = directory{log: h.log, current: h.front.Current, wanted: make(chan struct{}, 1)}
 	return h
 }
