--- a/core/tenure/keeper.go
+++ b/core/tenure/keeper.go
@@ -126,7 +126,7 @@
 	holder  Holder
 	version int64 // of the row; zero if there is none
 	beat    Beat
-	beatRow int64 // version of the row of the beat; zero if there is none
+	beatRow int64     // version of the row of the beat; zero if there is none
 	seen    time.Time // last sign of life
 	healthy time.Time // since when the watch was answered
 	known   bool      // the rows have been read
