cell, platform: tasks that fill, and queues that need advice

Cause: fills got 400; starts on a queue with advice had no ticket and were all rejected.

Change: a task that fills takes no processors from others, goes where enough are left, and never beside a task that lasts and has users of its own; when such a task comes, the ones that fill are stopped first and go on elsewhere from their checkpoints. So nobody is disturbed and no orders on pace are needed; they are not given. For queues that need advice the holder asks about up to 30 runners in one question, one question at a time, keeps tickets for the life of a runner and their time less 0.2 s, and asks no more about a runner that was not named while it lives.

Ruled out: pace by the tail of serving tasks, since apart is simpler and can never harm; its price is that runners with serving tasks leave their rest unused.

Tests over the simulated runners, which check tickets and HARM now: TestFills, TestServingComesFirst, TestAdvice with lost answers, restarts and takeovers; TestAdviser.

--- a/core/cell/admit.go
+++ b/core/cell/admit.go
@@ -58,7 +58,7 @@
 	waiting, capacity := 0.0, 0.0
 	for _, j := range c.ready {
 		for s := range j.tasks {
-			each := c.expected(j, s) * float64(j.spec(s).CPU)
+			each := c.expected(j, s) * float64(need(j.spec(s)).CPU)
 			if j.spec(s).Lasting {
 				continue
 			}
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -48,6 +48,7 @@
 	Settings Settings
 	Orders   Orders
 	Store    Store
+	Adviser  Adviser // nil if there is none
 	Log      log.Logger
 	Counter  Counter
 	Wall     func() int64 // time of day, in milliseconds since 1970
@@ -64,6 +65,10 @@
 	rack     string // on which the tasks that are placed now should be; empty for any
 	reported time.Time
 
+	advising   bool      // a question to the adviser is on its way
+	adviceNext time.Time // when the next one may be asked
+	adviceTime time.Time // of the placing that goes on
+
 	loaded  bool      // the rows have been read
 	safe    bool      // no run of a former holder is left that is not booked
 	safeAt  time.Time // when that is so by time alone
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -8,10 +8,6 @@
 	"gypsumward/core/work"
 )
 
-func need(s *work.Step) Room {
-	return Room{CPU: s.CPU, Memory: s.Memory, GPU: s.GPU}
-}
-
 // dispatch starts what fits, in the order of due times.
 func (c *Cell) dispatch(now time.Time) {
 	if !c.mayStart(now) || len(c.ready) == 0 {
@@ -45,7 +41,7 @@
 	least := work.MaxCPU
 	for _, j := range c.ready {
 		for s := range j.Steps {
-			least = min(least, j.Steps[s].CPU)
+			least = min(least, need(&j.Steps[s]).CPU)
 		}
 	}
 	return max(least, 1)
@@ -70,6 +66,7 @@
 		if !slices.ContainsFunc(j.tasks[s], func(t *task) bool { return t.ready }) {
 			continue
 		}
+		c.askAdvice(now, j, s, usable)
 		c.rack = c.rackFor(j, s, usable)
 		if g := j.gang(s); g != nil {
 			started = c.startGang(now, g, usable) || started
@@ -153,6 +150,9 @@
 	if r.health.streak > 0 {
 		score -= 20
 	}
+	if serves(t.spec()) && r.filling() > 0 {
+		score -= 30
+	}
 	if slices.Contains(t.tried, r) {
 		score -= 40
 	}
@@ -165,6 +165,12 @@
 	if r.Service != t.job.Queue.Service || !r.free().fits(n) {
 		return false
 	}
+	if s.Fills && !r.mayFill(s) {
+		return false
+	}
+	if !c.advised(t, r) {
+		return false
+	}
 	if s.Label != "" && !slices.Contains(r.Labels, s.Label) {
 		return false
 	}
@@ -200,12 +206,13 @@
 	if r.asked.IsZero() {
 		r.asked = now
 	}
+	c.clearFor(now, t, r)
 	c.Counter.Count("starts", 1)
 	c.log("event", "start", "job", t.job.ID, "step", t.step, "task", t.index, "run", t.last, "runner", r.ID, "waited", now.Sub(t.job.arrived),
 		"left", t.job.due.Sub(now), "speed", r.speed.rate, "free", r.free().CPU)
 	c.Orders.Start(r.target(), order.Start{
 		Task: x.key.task, Run: x.key.run, Spec: t.job.Spec, Deadline: deadline, Token: r.token,
-		Saved: t.saved.value,
+		Saved: t.saved.value, Ticket: t.job.ticket(t.step, r),
 	})
 }
 
@@ -249,6 +256,9 @@
 		c.fence(now, x.runner) // the list tells whether it runs
 		return
 	}
+	if v == order.Unadvised && x.task != nil {
+		delete(x.task.job.advice(x.task.step).tickets, x.runner.ID)
+	}
 	c.release(x)
 	c.wake()
 }
--- a/core/cell/health.go
+++ b/core/cell/health.go
@@ -96,7 +96,7 @@
 		return
 	}
 	x.runner.health.succeeded()
-	if x.task.spec().Lasting || x.resumed {
+	if x.task.spec().Lasting || x.task.spec().Fills || x.resumed {
 		return
 	}
 	took := max(milliseconds(now.Sub(x.answered)), 1)
@@ -120,7 +120,10 @@
 
 // watch stops a run that stands still.
 func (c *Cell) watch(now time.Time, x *run) {
-	if x.task == nil || !x.stopping.IsZero() || x.answered.IsZero() || c.resting || x.task.spec().Lasting {
+	if x.task == nil || !x.stopping.IsZero() || x.answered.IsZero() || c.resting {
+		return
+	}
+	if x.task.spec().Lasting || x.task.spec().Fills {
 		return
 	}
 	took := now.Sub(x.answered)
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -46,10 +46,11 @@
 	blamed  []*runner
 	row     jobRow
 
-	unsettled []endRef  // ends that the rows do not hold yet
-	occurring int       // occurrences whose time has come
-	gangs     bool      // a step is one
-	blocked   time.Time // since when a gang does not fit; zero if none waits
+	advices   map[int]*advice // by step; nil if the queue needs none
+	unsettled []endRef        // ends that the rows do not hold yet
+	occurring int             // occurrences whose time has come
+	gangs     bool            // a step is one
+	blocked   time.Time       // since when a gang does not fit; zero if none waits
 
 	inherited bool
 	listed    bool // in Cell.ready
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -168,6 +168,19 @@
 // Apply hands the message to c.
 func (m WrittenMessage) Apply(c *Cell, now time.Time) { c.Written(now, m.Number, m.Answer) }
 
+// AdvisedMessage is the answer of the adviser.
+type AdvisedMessage struct {
+	Asked   time.Time
+	Task    work.Task
+	Runners []string
+	Advice  order.Advice
+}
+
+// Apply hands the message to c.
+func (m AdvisedMessage) Apply(c *Cell, now time.Time) {
+	c.Advised(now, m.Asked, m.Task, m.Runners, m.Advice)
+}
+
 // ListMessage is a new list of runners.
 type ListMessage struct{ Listings []Listing }
 
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -49,6 +49,11 @@
 	Scan(ctx context.Context, s table.Scan) (table.Found, error)
 }
 
+// Adviser tells which runners may run a step.
+type Adviser interface {
+	Advise(ctx context.Context, t work.Task, runners []string) order.Advice
+}
+
 // Clock gives the time.
 type Clock interface {
 	Now() time.Time
@@ -379,6 +384,28 @@
 	})
 }
 
+// advice asks an adviser in goroutines.
+type advice struct {
+	l       *Lead
+	adviser Adviser
+}
+
+// adviceTimeout is for the answer to one question; others may be before it.
+const adviceTimeout = 1500 * time.Millisecond
+
+func (a advice) Advise(t work.Task, runners []string) {
+	asked := a.l.Clock.Now()
+	a.l.order(adviceTimeout, func(ctx context.Context) cell.Message {
+		return cell.AdvisedMessage{Asked: asked, Task: t, Runners: runners, Advice: a.adviser.Advise(ctx, t, runners)}
+	})
+}
+
+// SetAdviser sets whom to ask for steps of queues that need advice. It is called
+// before Run.
+func (l *Lead) SetAdviser(a Adviser) {
+	l.cell.Adviser = advice{l, a}
+}
+
 // writes sends the writes of a cell in goroutines.
 type writes struct{ l *Lead }
 
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -20,6 +20,7 @@
 	Deadline int64 // until which all that the runner does is leased
 	Token    int64
 	Saved    string // checkpoint from which the run goes on; empty if there is none
+	Ticket   string // of the adviser; empty if the queue has none
 }
 
 // Stop ends a run of a task.
@@ -42,20 +43,21 @@
 
 // The verdicts.
 const (
-	Unknown Verdict = iota // no answer: it may have been carried out or may yet be
-	Done                   // carried out
-	Fenced                 // a higher token was seen; nothing was done
-	Old                    // a run at least as high was there; nothing was done
-	Late                   // the deadline has passed; nothing was done
-	Full                   // no room; nothing was done
-	Unfit                  // the runner is unwell; nothing was done
-	Other                  // another incarnation answered; nothing was done
-	Invalid                // the order was not understood; nothing was done
+	Unknown   Verdict = iota // no answer: it may have been carried out or may yet be
+	Done                     // carried out
+	Fenced                   // a higher token was seen; nothing was done
+	Old                      // a run at least as high was there; nothing was done
+	Late                     // the deadline has passed; nothing was done
+	Full                     // no room; nothing was done
+	Unfit                    // the runner is unwell; nothing was done
+	Other                    // another incarnation answered; nothing was done
+	Invalid                  // the order was not understood; nothing was done
+	Unadvised                // the ticket does not hold; nothing was done
 )
 
 // String returns the verdict in one word.
 func (v Verdict) String() string {
-	words := [...]string{"unknown", "done", "fenced", "old", "late", "full", "unfit", "other", "invalid"}
+	words := [...]string{"unknown", "done", "fenced", "old", "late", "full", "unfit", "other", "invalid", "unadvised"}
 	if int(v) < len(words) {
 		return words[v]
 	}
@@ -106,3 +108,11 @@
 	Active  []Active
 	Ends    []End
 }
+
+// Advice is the answer of the adviser: which of the runners that were named may run a
+// step.
+type Advice struct {
+	Known   bool              // false if there was no answer
+	Tickets map[string]string // by runner
+	Valid   time.Duration     // for which the tickets hold
+}
--- a/core/work/step.go
+++ b/core/work/step.go
@@ -18,6 +18,8 @@
 	Colocate   bool `json:"colocate,omitempty"`   // its tasks are slower on several racks
 	Gang       bool `json:"gang,omitempty"`       // its tasks work only while all run, and end together
 	Lasting    bool `json:"lasting,omitempty"`    // its tasks run until the job is cancelled
+	Tail       int  `json:"tail,omitempty"`       // milliseconds that its tasks' own users wait at most; zero means it has none
+	Fills      bool `json:"fills,omitempty"`      // its tasks get the processors that others leave
 }
 
 // check returns why the step of an index can never be run, or nil.
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -68,6 +68,7 @@
 	keeper   *tenure.Keeper
 	store    *platform.Store
 	orders   *platform.Runners
+	adviser  *platform.Adviser
 	client   *peer.Client
 	leaving  atomic.Bool
 }
@@ -80,6 +81,7 @@
 	h.settings.Source = func() (*platform.Settings, error) { return platform.Load(os.Getenv(platform.Variable)) }
 	h.store = &platform.Store{Client: platform.NewClient(storeConns), Addr: s.Store}
 	h.orders = &platform.Runners{Client: platform.NewClient(runnerConns)}
+	h.adviser = &platform.Adviser{Client: platform.NewClient(1), Addr: s.Advice}
 	now := time.Now()
 	self := tenure.Member{
 		Node: s.Node, Life: fmt.Sprintf("%s@%d", s.Node, now.UnixNano()), Zone: s.Zone,
@@ -102,6 +104,7 @@
 // begin makes the lead of a term.
 func (h *Host) begin(t tenure.Term) *lead.Lead {
 	l := lead.New(t, CellName, h.bounds(), h.orders, h.store, h.clock, h.log, h.gauge)
+	l.SetAdviser(h.adviser)
 	l.Post(cell.ListMessage{Listings: h.runners.listings()})
 	h.runners.want()
 	return l
