mirror: do not miss the first row that was ever written

Ruled out: a lost answer of the feed (no call failed), a configuration that could not be read (none was logged).

Change: a value of its own stands for not having read.

Test: TestMirrorEmptyStore, failed first.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -35,6 +35,10 @@
 	Take func(rows []table.Row, whole bool)
 	// Fail is told of each call that failed; may be nil.
 	Fail func(err error)
+	// Rest returns how long to wait between an answer and the next call, which Wake cuts
+	// short; both may be nil.
+	Rest func() time.Duration
+	Wake <-chan struct{}
 }
 
 // Run follows until ctx ends.
@@ -45,11 +49,12 @@
 	if m.Timeout == 0 {
 		m.Timeout = DefaultTimeout
 	}
-	after, pause := int64(0), DefaultPause
+	after, pause := unread, DefaultPause
 	for ctx.Err() == nil {
 		next, err := m.step(ctx, after)
 		if err == nil {
 			after, pause = next, DefaultPause
+			m.rest(ctx)
 			continue
 		}
 		if m.Fail != nil && ctx.Err() == nil {
@@ -60,16 +65,36 @@
 	}
 }
 
-// step makes one call and returns the version to go on from, or zero to read anew.
+func (m *Mirror) rest(ctx context.Context) {
+	if m.Rest == nil {
+		return
+	}
+	d := m.Rest()
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-m.Wake:
+	case <-ctx.Done():
+	}
+}
+
+// unread stands for the version before the rows have been read.
+const unread = int64(-1)
+
+// step makes one call and returns the version to go on from, or unread to read anew.
 func (m *Mirror) step(ctx context.Context, after int64) (int64, error) {
-	if after == 0 {
+	if after == unread {
 		return m.read(ctx)
 	}
 	limited, cancel := context.WithTimeout(ctx, m.Wait+m.Timeout)
 	defer cancel()
 	changes, err := m.Store.Watch(limited, table.Watch{Prefix: m.Prefix, After: after, Wait: span.Of(m.Wait)})
 	if err != nil || changes.Lost {
-		return 0, err
+		return unread, err
 	}
 	m.Take(changes.Rows, false)
 	return max(after, changes.Version), nil
@@ -78,17 +103,17 @@
 // read reads all rows, page by page.
 func (m *Mirror) read(ctx context.Context) (int64, error) {
 	var rows []table.Row
-	version := int64(0)
+	version := unread
 	last := ""
 	for {
 		limited, cancel := context.WithTimeout(ctx, m.Timeout)
 		found, err := m.Store.Scan(limited, table.Scan{Prefix: m.Prefix, After: last, Limit: table.MaxScan})
 		cancel()
 		if err != nil {
-			return 0, err
+			return unread, err
 		}
-		if version == 0 {
-			version = max(found.Version, 1)
+		if version == unread {
+			version = found.Version
 		}
 		rows = append(rows, found.Rows...)
 		if !found.More || len(found.Rows) == 0 {
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -76,3 +76,19 @@
 	}, taken)
 	require.Equal(t, 1, failed)
 }
+
+// TestMirrorEmptyStore begins before anything was ever written.
+func TestMirrorEmptyStore(t *testing.T) {
+	t.Parallel()
+	ctx, stop := context.WithCancel(t.Context())
+	s := &script{
+		stop:    stop,
+		scans:   []table.Found{{Version: 0}},
+		watches: []any{table.Changes{Version: 0}, table.Changes{Rows: []table.Row{row("/op/a", 1)}, Version: 1}},
+	}
+	var taken []table.Row
+	m := &mirror.Mirror{Store: s, Prefix: "/op/", Take: func(rows []table.Row, _ bool) { taken = append(taken, rows...) }}
+	m.Run(ctx)
+	require.Equal(t, []int64{0, 0, 1}, s.after, "the first row of all is not missed")
+	require.Equal(t, []table.Row{row("/op/a", 1)}, taken)
+}
