shard, hosted, tenure: as many cells as the fleet needs

Change: jobs and runners are divided among cells by a hash of their ids; how many cells there are (one for each 64 runners) is agreed once by a row that is inserted if absent. Each instance has a seat for each cell: a keeper, a front, perhaps the lead. Instances with more cores and fewer cells claim first, and a cell that is handed over goes to the one with the fewest. A claim also requires the sign of life that was known when it was decided (TestReturnToBeat failed once in a while without). With several cells the watch of a holder that answers rests up to 0.5 s between readings, and is woken when a call fails or a job is not taken.

Ruled out: each instance its own runners (a job of 8 tasks of 14 cores never fits on 6 runners); trying another cell after a refusal (a job that comes again would run in two).

Tests: TestFor, TestOf, TestAgreement, TestAgreementOnce, TestBest. The plays of a cell got holds that time out, runners that refuse, and tests for four mechanisms that none noticed: broken gangs, failures of a gang, stored checkpoints, serving tasks.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -36,7 +36,8 @@
 // Tenure tells which holding of the cell this is.
 type Tenure struct {
 	Name    string        // of the cell; the first part of its keys
-	Epoch   int64         // version of the row of the holder, above all former ones
+	Row     string        // key of the row of the holder
+	Epoch   int64         // version of that row, above all former ones
 	Round   int           // number of holders so far
 	Runners int           // that the former holder had; zero if there was none
 	Grace   time.Duration // for which the former holder may go on
--- a/core/cell/kinds_test.go
+++ b/core/cell/kinds_test.go
@@ -80,6 +80,34 @@
 	}
 }
 
+// TestGangMemberRefused lets one runner refuse its member: the others do not wait for
+// it until they end alone.
+func TestGangMemberRefused(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 6, 32000)
+	w.takeOver()
+	w.run(time.Second)
+	w.runners["r2"].unfit = true
+	w.submit(newJob(1, true, gangOf(10, 300)))
+	w.run(2 * time.Second)
+	settled(t, w)
+	require.Zero(t, w.hows[order.Alone])
+}
+
+// TestGangFails lets a gang fail each time: it has as many attempts as one task.
+func TestGangFails(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 6, 32000)
+	w.takeOver()
+	w.run(time.Second)
+	j := newJob(1, false, gangOf(4, 300))
+	j.Spec = "poison"
+	w.submit(j)
+	w.run(20 * time.Second)
+	settled(t, w)
+	require.Len(t, w.failures[work.Task{Job: j.ID, Index: -1}], j.Queue.Attempts)
+}
+
 // TestLasting lets tasks last through failures, takeovers and lost runners until their
 // job is cancelled.
 func TestLasting(t *testing.T) {
@@ -169,21 +197,17 @@
 	for _, r := range w.runners {
 		for _, task := range r.tasks() {
 			r.end(task, order.Lapsed)
-			r.cut = true
 		}
 	}
-	w.run(100 * time.Millisecond)
-	w.heal()
-	w.run(500 * time.Millisecond)
-	saved := func() string {
-		for _, r := range w.runners {
-			for _, x := range r.runs {
-				return x.saved
-			}
-		}
-		return ""
+	for _, r := range w.runners {
+		r.unfit = true
 	}
-	require.Equal(t, w.savedBy(work.Task{Job: j.ID})+"1", saved())
+	w.run(400 * time.Millisecond)
+	w.holder().kill()
+	w.heal()
+	w.run(1500 * time.Millisecond)
+	task := work.Task{Job: j.ID}
+	require.Equal(t, w.savedBy(task)+"1", w.from[task])
 	w.run(20 * time.Second)
 	settled(t, w)
 }
--- a/core/cell/ledger.go
+++ b/core/cell/ledger.go
@@ -13,18 +13,11 @@
 
 // Tables of a cell. A key is CELL/TABLE/NAME.
 const (
-	TableHolder   = "cells"    // one row, named HolderRow, and its sign of life
 	TableJobs     = "jobs"     // jobs that have not ended
 	TableProgress = "progress" // what is done of them
 	TableEnds     = "ends"     // the final states of jobs
 )
 
-// Names of rows of TableHolder.
-const (
-	HolderRow = "holder"
-	BeatRow   = "beat"
-)
-
 // maxEntries is how many conditions and changes a transaction takes from jobs; one
 // more is for the holder.
 const maxEntries = table.MaxOps - 2
@@ -248,7 +241,7 @@
 	delete(c.ledger.flights, f.number)
 	f.number, f.sent, f.again = c.ledger.number, now, time.Time{}
 	c.ledger.flights[f.number] = f
-	w := table.Write{Ops: []table.Op{{Key: c.Key(TableHolder, HolderRow), If: c.Tenure.Epoch, Check: true}}}
+	w := table.Write{Ops: []table.Op{{Key: c.Tenure.Row, If: c.Tenure.Epoch, Check: true}}}
 	for _, ch := range f.changes {
 		w.Ops = append(w.Ops, ch.ops...)
 	}
@@ -284,7 +277,7 @@
 	for _, r := range a.Written.Conflict {
 		conflicts[r.Key] = r
 	}
-	if _, lost := conflicts[c.Key(TableHolder, HolderRow)]; lost && !a.Written.Done {
+	if _, lost := conflicts[c.Tenure.Row]; lost && !a.Written.Done {
 		c.Depose(now, "the row of the holder has changed")
 		return
 	}
--- a/core/cell/runner_world_test.go
+++ b/core/cell/runner_world_test.go
@@ -31,6 +31,7 @@
 	fails   bool // every run
 	first   bool // the first run of each task fails
 	hangs   bool
+	unfit   bool    // it refuses to start anything
 	slow    float64 // factor of the time of runs
 	drift   int64   // percent by which the clock is slow
 	token   int64
@@ -158,6 +159,9 @@
 	if s.Deadline <= r.clock() {
 		return order.Reply{Verdict: order.Late, Clock: r.clock()}
 	}
+	if r.unfit {
+		return order.Reply{Verdict: order.Unfit, Clock: r.clock()}
+	}
 	if !w.ticketHolds(s, r) {
 		w.hows["unadvised"]++
 		return order.Reply{Verdict: order.Unadvised, Clock: r.clock()}
@@ -171,6 +175,7 @@
 	}
 	x := &simRun{number: s.Run, cpu: step.CPU, began: w.now, took: took, saved: s.Saved}
 	r.runs[s.Task], r.highest[s.Task] = x, s.Run
+	w.from[s.Task] = s.Saved
 	if r.hangs {
 		x.still = true
 		return order.Reply{Verdict: order.Done, Clock: r.clock()}
--- a/core/cell/share_test.go
+++ b/core/cell/share_test.go
@@ -48,9 +48,9 @@
 	w := newWorld(1, 4, 32000)
 	w.takeOver()
 	w.run(time.Second)
-	w.submit(newJob(1, false, filler(8, 4000)))
+	w.submit(newJob(1, false, filler(16, 4000)))
 	w.run(time.Second)
-	serving := newJob(2, false, work.Step{Count: 2, CPU: 14000, Memory: 64, Estimate: 500, Lasting: true, Tail: 40})
+	serving := newJob(2, false, work.Step{Count: 2, CPU: 6000, Memory: 64, Estimate: 500, Lasting: true, Tail: 40})
 	w.submit(serving)
 	w.run(time.Second)
 	at := 0
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -28,8 +28,9 @@
 	ports   []*port // holders so far; the last one holds the cell
 	broken  []string
 	faults  faults
-	asking  int           // questions to the adviser that are open
-	grace   time.Duration // that the next holder gives the former one
+	from    map[work.Task]string // checkpoint that the last run of a task was given
+	asking  int                  // questions to the adviser that are open
+	grace   time.Duration        // that the next holder gives the former one
 
 	asked    map[string]*work.Job
 	ended    map[work.Task]bool         // tasks of which a run has ended as done
@@ -78,7 +79,7 @@
 		rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
 		store: &rows{values: map[string]table.Row{}}, runners: map[string]*simRunner{},
 		ended: map[work.Task]bool{},
-		asked: map[string]*work.Job{}, done: map[string]bool{}, failures: map[work.Task]map[int]bool{}, hows: map[order.How]int{},
+		asked: map[string]*work.Job{}, done: map[string]bool{}, failures: map[work.Task]map[int]bool{}, hows: map[order.How]int{}, from: map[work.Task]string{},
 		answers: map[string]cell.Outcome{}, open: map[string]bool{},
 		faults: faults{delay: 2 * time.Millisecond},
 	}
@@ -120,7 +121,7 @@
 	w.faults = faults{delay: 2 * time.Millisecond}
 	w.store.down = false
 	for _, r := range w.runners {
-		r.cut, r.fails, r.hangs, r.slow = false, false, false, 1
+		r.cut, r.fails, r.hangs, r.unfit, r.slow = false, false, false, false, 1
 		r.takeBack()
 	}
 	p := w.holder()
@@ -143,7 +144,7 @@
 	if p.round > 1 {
 		former = len(w.runners)
 	}
-	p.cell = cell.New(cell.Tenure{Name: "c0", Epoch: w.store.version, Round: p.round, Runners: former, Grace: w.grace}, cell.Settings{}, w.now)
+	p.cell = cell.New(cell.Tenure{Name: "c0", Row: "c0/cells/holder", Epoch: w.store.version, Round: p.round, Runners: former, Grace: w.grace}, cell.Settings{}, w.now)
 	p.epoch = w.store.version
 	p.cell.Orders, p.cell.Store, p.cell.Adviser = p, p, p
 	w.asking = 0
@@ -306,17 +307,24 @@
 		func(v order.Reply) { p.cell.Stopped(p.world.now, to.ID, s, v) })
 }
 
+const holdTimeout = 400 * time.Millisecond // besides what a hold waits
+
 func (p *port) Hold(to order.Target, h order.Hold, ticket int64) {
 	w := p.world
+	told := false
 	answer := func(v order.Held) {
-		p.tell(func() { p.cell.Held(w.now, to.ID, h, ticket, v) })
+		if !told {
+			told = true
+			p.tell(func() { p.cell.Held(w.now, to.ID, h, ticket, v) })
+		}
 	}
+	w.after(h.Wait+holdTimeout, func() { answer(order.Held{}) })
 	p.holds++
 	lost := w.chance(w.faults.lost)
 	w.after(w.jitter(), func() {
 		r := w.runners[to.ID]
 		if r == nil || r.cut || r.dead || p.blind[to.ID] {
-			w.after(r.failTime(h.Wait+400*time.Millisecond), func() { answer(order.Held{}) })
+			w.after(r.failTime(h.Wait+holdTimeout), func() { answer(order.Held{}) })
 			return
 		}
 		if r.foreign {
@@ -325,7 +333,6 @@
 		}
 		r.hold(h, func(v order.Held) {
 			if lost {
-				w.after(400*time.Millisecond, func() { answer(order.Held{}) })
 				return
 			}
 			w.after(w.jitter(), func() { answer(v) })
--- a/core/front/front.go
+++ b/core/front/front.go
@@ -60,6 +60,7 @@
 	Clock  tenure.Clock
 	Log    log.Logger
 	Begin  func(t tenure.Term) *lead.Lead // makes the lead of a term
+	Cells  func() int                     // that this instance holds
 
 	ctx     context.Context
 	calls   atomic.Int64
@@ -72,7 +73,7 @@
 
 // Mount registers the methods between instances.
 func (f *Front) Mount(s *peer.Server) {
-	peer.Handle(s, methodSubmit, func(ctx context.Context, h cell.Handed) (submitted, error) {
+	peer.Handle(s, f.method(methodSubmit), func(ctx context.Context, h cell.Handed) (submitted, error) {
 		l, err := f.local()
 		if err != nil {
 			return submitted{}, err
@@ -80,13 +81,13 @@
 		o, err := l.Submit(ctx, h)
 		return newSubmitted(o), over(err)
 	})
-	peer.Handle(s, methodLeave, func(_ context.Context, h leaving) (struct{}, error) {
+	peer.Handle(s, f.method(methodLeave), func(_ context.Context, h leaving) (struct{}, error) {
 		if l := f.current(); l != nil {
 			l.Leave(h.Name, h.Caller)
 		}
 		return struct{}{}, nil
 	})
-	peer.Handle(s, methodCancel, func(ctx context.Context, q question) (lead.Cancelled, error) {
+	peer.Handle(s, f.method(methodCancel), func(ctx context.Context, q question) (lead.Cancelled, error) {
 		l, err := f.local()
 		if err != nil {
 			return lead.Cancelled{}, err
@@ -94,7 +95,7 @@
 		v, err := l.Cancel(ctx, q.Name)
 		return v, over(err)
 	})
-	peer.Handle(s, methodState, func(ctx context.Context, q question) (told, error) {
+	peer.Handle(s, f.method(methodState), func(ctx context.Context, q question) (told, error) {
 		l, err := f.local()
 		if err != nil {
 			return told{}, err
@@ -102,7 +103,7 @@
 		v, err := l.State(ctx, q.Name)
 		return told{State: v}, over(err)
 	})
-	peer.Handle(s, methodPending, func(ctx context.Context, q question) (told, error) {
+	peer.Handle(s, f.method(methodPending), func(ctx context.Context, q question) (told, error) {
 		l, err := f.local()
 		if err != nil {
 			return told{}, err
@@ -110,7 +111,12 @@
 		v, err := l.Pending(ctx, q.Name)
 		return told{Count: v}, over(err)
 	})
-	peer.Handle(s, methodHello, f.hello)
+	peer.Handle(s, f.method(methodHello), f.hello)
+}
+
+// method returns the name of a method for the cell of f.
+func (f *Front) method(name string) string {
+	return name + "/" + f.Cell
 }
 
 type submitted struct {
@@ -232,12 +238,20 @@
 	return f.lead
 }
 
-// Successor returns the member heard lately that started last, which is the least
-// likely to be replaced next. Ok is false if none was heard.
+// Successor returns the member heard lately that should hold the cell next. Ok is false
+// if none was heard.
 func (f *Front) Successor() (m tenure.Member, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.ledger.Latest(f.Clock.Now(), helloLife)
+	return f.ledger.Best(f.Clock.Now(), helloLife)
+}
+
+// Calm reports whether the holder answered the latest greetings.
+func (f *Front) Calm() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at := f.given.Answered()
+	return !at.IsZero() && f.Clock.Now().Sub(at) < 2*helloEvery
 }
 
 // Connected reports whether this instance is the holder or was answered by it lately.
@@ -258,7 +272,10 @@
 		if version == 0 || self || h.Addr == "" {
 			return false, ErrUnknown
 		}
-		err = f.Client.Call(ctx, h.Addr, method, params, result)
+		err = f.Client.Call(ctx, h.Addr, f.method(method), params, result)
+		if err != nil {
+			f.Keeper.Look()
+		}
 	}
 	return err != nil && peer.Ran(err) != api.RanNot, err
 }
--- a/core/front/hello.go
+++ b/core/front/hello.go
@@ -41,8 +41,10 @@
 	f.mu.Lock()
 	g := f.given.Greeting(f.Self)
 	f.mu.Unlock()
+	g.Cells = f.Cells()
 	var a promise.Answer
-	if f.Client.Call(limited, h.Addr, methodHello, g, &a) != nil {
+	if f.Client.Call(limited, h.Addr, f.method(methodHello), g, &a) != nil || !a.Leading {
+		f.Keeper.Look()
 		return
 	}
 	dark := !f.Keeper.BeatSeen()
--- a/core/front/submit.go
+++ b/core/front/submit.go
@@ -27,6 +27,7 @@
 			return f.checked(ctx, j, o)
 		}
 		h.Again = h.Again || open || (err == nil && o.Verdict == cell.Open)
+		f.Keeper.Look()
 		if ctx.Err() != nil || (!h.Again && f.Clock.Now().Sub(began) > findTime) {
 			break
 		}
--- a/core/promise/greeting.go
+++ b/core/promise/greeting.go
@@ -24,6 +24,7 @@
 	Holder string    `json:"holder,omitempty"` // life of the holder that answered; empty if none has
 	Stamp  int64     `json:"stamp,omitempty"`  // of the answer
 	Length span.Span `json:"length,omitempty"` // of the promise, from when the answer came
+	Cells  int       `json:"cells,omitempty"`  // that the instance holds
 }
 
 // Answer is what an instance says to a greeting.
--- a/core/promise/ledger.go
+++ b/core/promise/ledger.go
@@ -1,6 +1,7 @@
 package promise
 
 import (
+	"cmp"
 	"time"
 
 	"gypsumward/core/tenure"
@@ -23,6 +24,7 @@
 	member tenure.Member
 	at     time.Time
 	until  time.Time // it becomes the holder no sooner; zero if it has promised nothing
+	cells  int       // that it holds
 }
 
 // Take takes a greeting that came at now.
@@ -30,7 +32,7 @@
 	if l.peers == nil {
 		l.peers = map[string]entry{}
 	}
-	e := entry{member: g.Member, at: now}
+	e := entry{member: g.Member, at: now, cells: g.Cells}
 	if former := l.peers[g.Node]; former.member.Life == g.Life {
 		e.until = former.until
 	}
@@ -58,16 +60,22 @@
 	return until, ok && until.After(now)
 }
 
-// Latest returns the peer heard within a time that started last. Ok is false if none
-// was heard.
-func (l *Ledger) Latest(now time.Time, within time.Duration) (m tenure.Member, ok bool) {
+// Best returns the peer heard within a time that should hold a cell next: the one that
+// holds the fewest, has the most cores and started last. Ok is false if none was heard.
+func (l *Ledger) Best(now time.Time, within time.Duration) (m tenure.Member, ok bool) {
+	var best entry
 	for _, e := range l.peers {
-		if now.Sub(e.at) > within {
-			continue
-		}
-		if !ok || e.member.Since > m.Since {
-			m, ok = e.member, true
+		if now.Sub(e.at) <= within && (!ok || e.better(best)) {
+			best, ok = e, true
 		}
 	}
-	return m, ok
+	return best.member, ok
+}
+
+func (e entry) better(other entry) bool {
+	return cmp.Or(
+		cmp.Compare(other.cells, e.cells),
+		cmp.Compare(e.member.Cores, other.member.Cores),
+		cmp.Compare(e.member.Since, other.member.Since),
+	) > 0
 }
--- a/core/promise/promise_test.go
+++ b/core/promise/promise_test.go
@@ -79,7 +79,7 @@
 	p.ledger.Take(p.now, promise.Greeting{Member: tenure.Member{Node: "q", Life: "q@1", Since: 7}})
 	_, ok := p.ledger.Until(p.now)
 	require.False(t, ok, "another peer has promised nothing")
-	m, ok := p.ledger.Latest(p.now, time.Second)
+	m, ok := p.ledger.Best(p.now, time.Second)
 	require.True(t, ok)
 	require.Equal(t, "q", m.Node)
 	p.now = p.now.Add(9 * time.Second)
@@ -137,3 +137,31 @@
 		}
 	})
 }
+
+func TestBest(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(100, 0)
+	greet := func(node string, cells int, cores float64, since int64) promise.Greeting {
+		return promise.Greeting{Cells: cells, Member: tenure.Member{Node: node, Life: node, Cores: cores, Since: since}}
+	}
+	for _, test := range []struct {
+		want      string
+		greetings []promise.Greeting
+	}{
+		{"", nil},
+		{"a", []promise.Greeting{greet("a", 3, 0.1, 1)}},
+		{"b", []promise.Greeting{greet("a", 1, 0.8, 1), greet("b", 0, 0.4, 1)}},
+		{"b", []promise.Greeting{greet("a", 0, 0.4, 9), greet("b", 0, 0.8, 1)}},
+		{"b", []promise.Greeting{greet("a", 0, 0.4, 1), greet("b", 0, 0.4, 2), greet("c", 1, 0.4, 3)}},
+	} {
+		l := promise.Ledger{Life: holder}
+		for _, g := range test.greetings {
+			l.Take(now, g)
+		}
+		m, ok := l.Best(now.Add(time.Second), time.Second)
+		require.Equal(t, test.want, m.Node)
+		require.Equal(t, test.want != "", ok)
+		_, ok = l.Best(now.Add(2*time.Second), time.Second)
+		require.False(t, ok, "none was heard lately")
+	}
+}
--- /dev/null
+++ b/core/shard/shard_test.go
@@ -0,0 +1,138 @@
+package shard_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"gypsumward/core/shard"
+	"gypsumward/core/table"
+)
+
+func TestFor(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct{ runners, cells int }{
+		{0, 1}, {1, 1}, {48, 1}, {64, 1}, {65, 2}, {350, 6}, {1100, 18}, {100000, shard.MaxCells},
+	} {
+		require.Equal(t, test.cells, shard.For(test.runners).Cells, "%d runners", test.runners)
+	}
+}
+
+func TestOf(t *testing.T) {
+	t.Parallel()
+	require.Zero(t, shard.Plan{}.Of("x"))
+	p := shard.Plan{Cells: 6}
+	counts := make([]int, p.Cells)
+	for i := range 6000 {
+		id := fmt.Sprintf("i-%08x", i*2654435761)
+		require.Equal(t, p.Of(id), p.Of(id))
+		counts[p.Of(id)]++
+	}
+	for cell, n := range counts {
+		require.InDelta(t, 1000, n, 150, "cell %d", cell)
+	}
+}
+
+// store holds the one row. It fails as long as it is down.
+type store struct {
+	mu   sync.Mutex
+	row  table.Row
+	down bool
+}
+
+func (s *store) set(do func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	do()
+}
+
+var errDown = errors.New("down")
+
+func (s *store) Read(context.Context, table.Read) (table.Found, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return table.Found{}, errDown
+	}
+	return table.Found{Rows: []table.Row{s.row}}, nil
+}
+
+func (s *store) Write(_ context.Context, w table.Write) (table.Written, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return table.Written{}, errDown
+	}
+	if s.row.Version != w.Ops[0].If {
+		return table.Written{Conflict: []table.Row{s.row}}, nil
+	}
+	s.row = table.Row{Key: shard.Row, Version: 5, Value: w.Ops[0].Value}
+	return table.Written{Done: true, Version: 5}, nil
+}
+
+type clock struct{}
+
+func (clock) Now() time.Time { return time.Now() }
+
+func TestAgreement(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name    string
+		row     string
+		runners func(since time.Duration) int
+		down    time.Duration // of the store, from the start
+		want    int
+		within  time.Duration
+	}{
+		{"there is a plan", `{"cells":3}`, func(time.Duration) int { return 0 }, 0, 3, 10 * time.Millisecond},
+		{"the runners are known", ``, func(time.Duration) int { return 350 }, 0, 6, 2700 * time.Millisecond},
+		{"the runners come one by one", ``, func(d time.Duration) int { return min(int(d/(10*time.Millisecond)), 130) }, 0, 3, 4500 * time.Millisecond},
+		{"no runners", ``, func(time.Duration) int { return 0 }, 0, 1, 6200 * time.Millisecond},
+		{"the store is down", ``, func(time.Duration) int { return 100 }, 5 * time.Second, 2, 5200 * time.Millisecond},
+		{"the row cannot be read", `"x"`, func(time.Duration) int { return 350 }, 0, 1, 10 * time.Millisecond},
+		{"the row is out of range", `{"cells":900}`, func(time.Duration) int { return 350 }, 0, 1, 10 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := &store{down: test.down > 0}
+				if test.row != "" {
+					s.row = table.Row{Key: shard.Row, Version: 2, Value: json.RawMessage(test.row)}
+				}
+				began := time.Now()
+				time.AfterFunc(test.down, func() { s.set(func() { s.down = false }) })
+				a := &shard.Agreement{
+					Store: s, Clock: clock{}, Log: log.NewNopLogger(),
+					Runners: func() int { return test.runners(time.Since(began)) },
+				}
+				p, ok := a.Run(context.Background())
+				require.True(t, ok)
+				require.Equal(t, test.want, p.Cells)
+				require.LessOrEqual(t, time.Since(began), test.within)
+			})
+		})
+	}
+}
+
+// TestAgreementOnce lets another instance insert its plan first.
+func TestAgreementOnce(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{}
+		a := &shard.Agreement{Store: s, Clock: clock{}, Log: log.NewNopLogger(), Runners: func() int { return 350 }}
+		time.AfterFunc(500*time.Millisecond, func() {
+			s.set(func() { s.row = table.Row{Key: shard.Row, Version: 3, Value: json.RawMessage(`{"cells":2}`)} })
+		})
+		p, ok := a.Run(context.Background())
+		require.True(t, ok)
+		require.Equal(t, 2, p.Cells)
+	})
+}
--- a/core/tenure/keeper.go
+++ b/core/tenure/keeper.go
@@ -34,6 +34,7 @@
 	Timeout time.Duration // for a call of the store
 	Watch   time.Duration // for which the store waits for a change
 	Probe   time.Duration // between looks whether the holder listens
+	Rest    time.Duration // between readings of the rows while the holder answers; zero means none
 }
 
 func (s Settings) withDefaults() Settings {
@@ -65,11 +66,12 @@
 
 // Member is one life of an instance.
 type Member struct {
-	Node  string `json:"node"`
-	Life  string `json:"life"` // differs with every start
-	Addr  string `json:"addr"` // for calls between instances
-	Zone  string `json:"zone"`
-	Since int64  `json:"since"` // milliseconds on the time of day, for choosing a successor only
+	Node  string  `json:"node"`
+	Life  string  `json:"life"` // differs with every start
+	Addr  string  `json:"addr"` // for calls between instances
+	Zone  string  `json:"zone"`
+	Since int64   `json:"since"`           // milliseconds on the time of day, for choosing a successor only
+	Cores float64 `json:"cores,omitempty"` // that the instance may use
 }
 
 // Holder is the row of the holder.
@@ -118,6 +120,12 @@
 	Log      log.Logger
 	// Refuses reports whether nothing listens at an address, as opposed to no answer.
 	Refuses func(ctx context.Context, addr string) bool
+	// Calm reports whether the holder has just answered this instance. Its signs of life
+	// are then read less often; may be nil.
+	Calm func() bool
+	// Delay returns how long this instance waits before it claims, so that others that
+	// are better placed come first; may be nil.
+	Delay func() time.Duration
 	// Promised returns until when this instance has promised the holder not to replace
 	// it while it may be alive.
 	Promised func() time.Time
@@ -136,11 +144,12 @@
 	grace   time.Duration // of the term that is being claimed
 	number  int64
 	changed chan struct{}
+	look    chan struct{}
 }
 
 // New returns a keeper of a cell that has read nothing.
 func New(cell string, s Settings) *Keeper {
-	return &Keeper{Cell: cell, Settings: s.withDefaults(), Log: log.NewNopLogger(), changed: make(chan struct{})}
+	return &Keeper{Cell: cell, Settings: s.withDefaults(), Log: log.NewNopLogger(), changed: make(chan struct{}), look: make(chan struct{}, 1)}
 }
 
 // Holder returns the holder, the version of its row and whether this instance is it.
@@ -174,18 +183,27 @@
 	wg.Wait()
 }
 
-func (k *Keeper) key(row string) string {
-	return k.Cell + "/cells/" + row
+// Key returns the key of the row of the holder of a cell, or of its sign of life. Each
+// cell has a table of its own, so that a watch tells of nothing else.
+func Key(cell, row string) string {
+	return cell + "/cells-" + cell + "/" + row
 }
 
-func (k *Keeper) prefix() string {
-	return k.Cell + "/cells/"
+// Names of rows.
+const (
+	HolderRow = "holder"
+	BeatRow   = "beat"
+)
+
+func (k *Keeper) key(row string) string {
+	return Key(k.Cell, row)
 }
 
 // follow watches the rows.
 func (k *Keeper) follow(ctx context.Context) {
 	m := mirror.Mirror{
-		Store: k.Store, Prefix: k.prefix(), Wait: k.Settings.Watch, Timeout: k.Settings.Timeout,
+		Store: k.Store, Prefix: k.key(""), Wait: k.Settings.Watch, Timeout: k.Settings.Timeout,
+		Rest: k.rest, Wake: k.look,
 		Take: func(rows []table.Row, whole bool) {
 			k.take(rows)
 			if whole {
@@ -203,6 +221,21 @@
 	m.Run(ctx)
 }
 
+func (k *Keeper) rest() time.Duration {
+	if k.Calm == nil || !k.Calm() {
+		return 0
+	}
+	return k.Settings.Rest
+}
+
+// Look reads the rows at once, since the holder may have changed.
+func (k *Keeper) Look() {
+	select {
+	case k.look <- struct{}{}:
+	default:
+	}
+}
+
 // take takes rows as they have changed.
 func (k *Keeper) take(rows []table.Row) {
 	now := k.Clock.Now()
@@ -213,9 +246,9 @@
 	}
 	for _, r := range rows {
 		switch r.Key {
-		case k.key("holder"):
+		case k.key(HolderRow):
 			k.takeHolder(now, r)
-		case k.key("beat"):
+		case k.key(BeatRow):
 			var b Beat
 			if json.Unmarshal(r.Value, &b) == nil && b != k.beat {
 				k.beat, k.seen = b, now
@@ -277,8 +310,8 @@
 	limited, cancel := context.WithTimeout(ctx, k.Settings.Timeout)
 	defer cancel()
 	written, err := k.Store.Write(limited, table.Write{Ops: []table.Op{
-		{Key: k.key("holder"), If: term.Epoch, Check: true},
-		{Key: k.key("beat"), If: table.Any, Value: encode(b)},
+		{Key: k.key(HolderRow), If: term.Epoch, Check: true},
+		{Key: k.key(BeatRow), If: table.Any, Value: encode(b)},
 	}})
 	switch {
 	case err != nil:
@@ -299,7 +332,8 @@
 		now := k.Clock.Now()
 		k.mu.Lock()
 		idle := !k.known || k.leading || k.retired
-		holder, version, seen, stale := k.holder, k.version, k.seen, k.staleAt(now) && now.After(promised)
+		holder, version, beat, seen := k.holder, k.version, k.beatRow, k.seen
+		stale := k.staleAt(now) && now.After(promised)
 		k.mu.Unlock()
 		if idle {
 			continue
@@ -325,8 +359,9 @@
 			}
 		}
 		if why != "" {
-			steady.Sleep(ctx, rand.N(jitter))
-			k.claim(ctx, version, holder.Round+1, why, grace)
+			if k.queue(ctx, version, beat) {
+				k.claim(ctx, version, beat, holder.Round+1, why, grace)
+			}
 		}
 	}
 }
@@ -337,7 +372,7 @@
 	now := k.Clock.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return !k.healthy.IsZero() && now.Sub(k.seen) < beatsMissed*k.Settings.Beat
+	return !k.healthy.IsZero() && now.Sub(k.seen) < beatsMissed*k.Settings.Beat+k.Settings.Rest
 }
 
 // beatsMissed is how many signs of life may be missing until the way by the store
@@ -349,15 +384,35 @@
 	return !k.healthy.IsZero() && now.Sub(k.seen) > k.Settings.Stale && now.Sub(k.healthy) > k.Settings.Stale
 }
 
+// queue waits so that instances that are better placed claim first, for longer when
+// there has been no holder yet and all instances start. It reports whether the rows of
+// the holder and its beat are still of the versions given.
+func (k *Keeper) queue(ctx context.Context, version, beat int64) bool {
+	d := rand.N(jitter)
+	if k.Delay != nil {
+		d += k.Delay()
+	}
+	if version == 0 {
+		d *= firstDelay
+	}
+	steady.Sleep(ctx, d)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.version == version && k.beatRow == beat
+}
+
+// firstDelay is how many times longer the first claim of a cell waits.
+const firstDelay = 5
+
 // claim puts the own name if the row is still as it was and no sign of life has come
-// that this instance has not seen.
-func (k *Keeper) claim(ctx context.Context, version int64, round int, why string, grace time.Duration) {
+// since it was decided.
+func (k *Keeper) claim(ctx context.Context, version, beat int64, round int, why string, grace time.Duration) {
 	k.mu.Lock()
 	k.grace = grace
-	beat := table.Op{Key: k.key("beat"), If: k.beatRow, Check: true}
 	k.mu.Unlock()
 	_ = k.Log.Log("event", "claim", "why", why, "version", version, "round", round)
-	k.put(ctx, version, Holder{Member: k.Self, Round: round}, beat)
+	k.put(ctx, version, Holder{Member: k.Self, Round: round},
+		table.Op{Key: k.key(BeatRow), If: beat, Check: true})
 }
 
 // put writes the row of the holder on the condition of its version and of others. It
@@ -368,13 +423,13 @@
 	sent := k.Clock.Now()
 	value := encode(h)
 	written, err := k.Store.Write(limited, table.Write{Ops: append([]table.Op{
-		{Key: k.key("holder"), If: version, Value: value},
+		{Key: k.key(HolderRow), If: version, Value: value},
 	}, others...)})
 	if err != nil {
 		return false
 	}
 	if written.Done {
-		k.take([]table.Row{{Key: k.key("holder"), Version: written.Version, Value: value}})
+		k.take([]table.Row{{Key: k.key(HolderRow), Version: written.Version, Value: value}})
 		if h.Life == k.Self.Life {
 			k.Leader.Renew(Term{Epoch: written.Version, Round: h.Round}, sent.Add(k.Settings.Lease))
 		}
--- a/gypsumward/hosted/directory.go
+++ b/gypsumward/hosted/directory.go
@@ -6,15 +6,14 @@
 	"github.com/go-kit/log"
 
 	"gypsumward/core/cell"
-	"gypsumward/core/lead"
 	"gypsumward/core/table"
 	"gypsumward/platform"
 )
 
-// directory keeps the list of runners and hands it to the lead.
+// directory keeps the list of runners.
 type directory struct {
 	log     log.Logger
-	current func() *lead.Lead
+	changed func() // called after each reading
 	wanted  chan struct{}
 
 	mu   sync.Mutex
@@ -44,9 +43,7 @@
 		d.list[r.Key] = l
 	}
 	d.mu.Unlock()
-	if l := d.current(); l != nil {
-		l.Post(cell.ListMessage{Listings: d.listings()})
-	}
+	d.changed()
 }
 
 // want asks for the rows to be read at once.
@@ -57,6 +54,13 @@
 	}
 }
 
+// count returns the number of runners.
+func (d *directory) count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.list)
+}
+
 func (d *directory) listings() []cell.Listing {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -18,12 +18,11 @@
 	"github.com/juju/errors"
 
 	"gypsumward/core/cell"
-	"gypsumward/core/front"
-	"gypsumward/core/lead"
 	"gypsumward/core/mirror"
 	"gypsumward/core/peer"
 	"gypsumward/core/record"
 	"gypsumward/core/route"
+	"gypsumward/core/shard"
 	"gypsumward/core/sockopt"
 	"gypsumward/core/stamp"
 	"gypsumward/core/steady"
@@ -33,9 +32,6 @@
 	"gypsumward/platform"
 )
 
-// CellName is the cell of all runners.
-const CellName = "c0"
-
 // Times of a shutdown, from the signal on.
 const (
 	handTime   = 600 * time.Millisecond  // to hand the cell over
@@ -44,15 +40,17 @@
 )
 
 const (
-	runnerConns = 8
-	storeConns  = 8
-	peerCalls   = 1024
-	peerBeat    = 300 * time.Millisecond
-	refuseTime  = 250 * time.Millisecond
-	metricsPort = "9464"
-	configWait  = 1500 * time.Millisecond // of the store for a change of the configuration
-	listLeading = 400 * time.Millisecond
-	listIdle    = 5 * time.Second
+	runnerConns  = 8
+	storeConns   = 8
+	peerCalls    = 1024
+	peerBeat     = 300 * time.Millisecond
+	refuseTime   = 250 * time.Millisecond
+	metricsPort  = "9464"
+	configWait   = 1500 * time.Millisecond // of the store for a change of the configuration
+	listLeading  = 400 * time.Millisecond
+	listIdle     = 5 * time.Second
+	listStarting = 300 * time.Millisecond
+	listLength   = 150 // runners that are read each listLeading
 )
 
 // Host is one entry instance.
@@ -64,8 +62,9 @@
 	clock    steady.Clock
 	configs  route.Current
 	runners  directory
-	front    *front.Front
-	keeper   *tenure.Keeper
+	self     tenure.Member
+	plan     atomic.Pointer[shard.Plan]
+	seats    atomic.Pointer[[]*seat] // by the number of the cell; nil until there is a plan
 	store    *platform.Store
 	orders   *platform.Runners
 	adviser  *platform.Adviser
@@ -83,33 +82,17 @@
 	h.orders = &platform.Runners{Client: platform.NewClient(runnerConns)}
 	h.adviser = &platform.Adviser{Client: platform.NewClient(1), Addr: s.Advice}
 	now := time.Now()
-	self := tenure.Member{
+	h.self = tenure.Member{
 		Node: s.Node, Life: fmt.Sprintf("%s@%d", s.Node, now.UnixNano()), Zone: s.Zone,
-		Addr: fmt.Sprintf("%s:%d", s.IP, s.Ports[0]), Since: now.UnixMilli(),
+		Addr: fmt.Sprintf("%s:%d", s.IP, s.Ports[0]), Since: now.UnixMilli(), Cores: s.Cores,
 	}
 	h.client = &peer.Client{
 		Clock: &stamp.Clock{}, Calls: peerCalls, Beat: peerBeat, Pause: 20 * time.Millisecond, Dial: dial,
 	}
-	h.keeper = tenure.New(CellName, tenure.Settings{})
-	h.front = &front.Front{
-		Cell: CellName, Self: self, Keeper: h.keeper, Client: h.client, Store: h.store, Clock: h.clock,
-		Log: h.log, Begin: h.begin,
-	}
-	h.keeper.Self, h.keeper.Store, h.keeper.Clock = self, h.store, h.clock
-	h.keeper.Leader, h.keeper.Log, h.keeper.Refuses, h.keeper.Promised = h.front, h.log, refuses, h.front.Promised
-	h.runners = directory{log: h.log, current: h.front.Current, wanted: make(chan struct{}, 1)}
+	h.runners = directory{log: h.log, changed: h.relist, wanted: make(chan struct{}, 1)}
 	return h
 }
 
-// begin makes the lead of a term.
-func (h *Host) begin(t tenure.Term) *lead.Lead {
-	l := lead.New(t, CellName, h.bounds(), h.orders, h.store, h.clock, h.log, h.gauge)
-	l.SetAdviser(h.adviser)
-	l.Post(cell.ListMessage{Listings: h.runners.listings()})
-	h.runners.want()
-	return l
-}
-
 // bounds returns the bounds of a cell as they are set now.
 func (h *Host) bounds() cell.Settings {
 	s := h.settings.Get()
@@ -118,8 +101,10 @@
 
 // rebound puts changed bounds in force.
 func (h *Host) rebound() {
-	if l := h.front.Current(); l != nil {
-		l.Adjust(h.bounds())
+	for _, s := range h.seated() {
+		if l := s.front.Current(); l != nil {
+			l.Adjust(h.bounds())
+		}
 	}
 }
 
@@ -156,14 +141,13 @@
 	duties.Go(func() { h.ring.Run(ctx) })
 	settings := h.settings.Get()
 	_ = h.log.Log("event", "start", "node", settings.Node, "zone", settings.Zone, "front", settings.Front,
-		"life", h.front.Self.Life)
+		"life", h.self.Life)
 	servers, err := h.serve(ctx, &duties)
 	if err != nil {
 		return err
 	}
 	h.follow(ctx, &duties)
-	duties.Go(func() { h.front.Run(ctx) })
-	duties.Go(func() { h.keeper.Run(ctx) })
+	duties.Go(func() { h.sit(ctx, &duties) })
 	duties.Go(func() { h.settings.Run(ctx) })
 	for {
 		select {
@@ -186,7 +170,7 @@
 	ready := khttp.NewServer(khttp.Address(settings.Ready), khttp.Timeout(0))
 	ready.HandlePrefix("/", http.HandlerFunc(h.ready))
 	ingress := khttp.NewServer(khttp.Address(settings.Front), khttp.Timeout(0))
-	ingress.HandlePrefix("/", &platform.Ingress{Desk: h.front, Configs: &h.configs, Leaving: h.leaving.Load})
+	ingress.HandlePrefix("/", &platform.Ingress{Desk: desk{h}, Configs: &h.configs, Leaving: h.leaving.Load})
 	ingress.ReadHeaderTimeout = 5 * time.Second
 	ingress.IdleTimeout = time.Minute
 	metrics := khttp.NewServer(khttp.Address(net.JoinHostPort(settings.IP, metricsPort)), khttp.Timeout(0))
@@ -198,14 +182,35 @@
 		}
 		duties.Go(func() { _ = s.Start(context.WithoutCancel(ctx)) })
 	}
-	peers := &peer.Server{Addr: h.front.Self.Addr, Clock: h.client.Clock, Calls: peerCalls, Drain: 100 * time.Millisecond}
-	h.front.Mount(peers)
+	return servers, nil
+}
+
+// sit takes the seats once the plan is known.
+func (h *Host) sit(ctx context.Context, duties *sync.WaitGroup) {
+	agreement := &shard.Agreement{Store: h.store, Runners: h.runners.count, Clock: h.clock, Log: h.log}
+	plan, ok := agreement.Run(ctx)
+	if !ok {
+		return
+	}
+	h.plan.Store(&plan)
+	peers := &peer.Server{Addr: h.self.Addr, Clock: h.client.Clock, Calls: peerCalls, Drain: 100 * time.Millisecond}
+	var seats []*seat
+	for i := range plan.Cells {
+		s := h.newSeat(i, plan.Cells)
+		s.front.Mount(peers)
+		seats = append(seats, s)
+	}
+	_ = h.log.Log("event", "seats", "cells", plan.Cells)
 	duties.Go(func() {
 		if err := peers.Run(ctx); err != nil {
 			_ = h.log.Log("event", "peers", "err", err)
 		}
 	})
-	return servers, nil
+	h.seats.Store(&seats)
+	for _, s := range seats {
+		duties.Go(func() { s.front.Run(ctx) })
+		duties.Go(func() { s.keeper.Run(ctx) })
+	}
 }
 
 // follow follows the rows of the operator and of the runners.
@@ -222,12 +227,16 @@
 	duties.Go(func() { runners.Run(ctx) })
 }
 
-// listEvery returns the time between readings of the list of runners.
+// listEvery returns the time between readings of the list of runners. It is longer for
+// long lists.
 func (h *Host) listEvery() time.Duration {
-	if h.front.Current() == nil {
+	switch {
+	case h.seated() == nil:
+		return listStarting
+	case h.leading() == 0:
 		return listIdle
 	}
-	return listLeading
+	return listLeading * time.Duration(max(h.runners.count()/listLength, 1))
 }
 
 func (h *Host) missed(what string) func(error) {
@@ -256,21 +265,25 @@
 
 // ready answers whether clients should be sent here.
 func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
-	if h.leaving.Load() || h.configs.Get() == nil || !h.front.Connected() {
+	if h.leaving.Load() || h.configs.Get() == nil || !h.connected() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
-// stop hands the cell over, lets clients go elsewhere and finishes what they have
+// stop hands the cells over, lets clients go elsewhere and finishes what they have
 // asked.
 func (h *Host) stop(servers []*khttp.Server) {
 	began := time.Now()
 	h.leaving.Store(true)
-	h.keeper.Retire()
 	_ = h.log.Log("event", "stop")
-	h.handOver()
+	var handing sync.WaitGroup
+	for _, s := range h.seated() {
+		s.keeper.Retire()
+		handing.Go(s.handOver)
+	}
+	handing.Wait()
 	time.Sleep(noticeTime - time.Since(began))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(h.settings.Get().Grace-lastMargin))
 	defer cancel()
@@ -279,25 +292,3 @@
 	}
 	_ = h.log.Log("event", "stopped", "took", time.Since(began))
 }
-
-// handOver gives the cell to another instance, with no write or start left open.
-func (h *Host) handOver() {
-	l := h.front.Current()
-	if l == nil {
-		return
-	}
-	to, ok := h.front.Successor()
-	if !ok {
-		_ = h.log.Log("event", "nosuccessor")
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), handTime)
-	defer cancel()
-	l.Rest()
-	for !l.Idle() && ctx.Err() == nil {
-		time.Sleep(3 * time.Millisecond)
-	}
-	for ctx.Err() == nil && !h.keeper.Resign(ctx, to) {
-		time.Sleep(10 * time.Millisecond)
-	}
-}
--- a/scripts/mechanisms.py
+++ b/scripts/mechanisms.py
@@ -38,7 +38,7 @@
 ('renewed without the lease',' || !now.Before(c.leased) {',' {'),
 ('holds that fail are no silence','		c.missed(r, sent)\n',''),
 ('another runner at the address unnoticed','			c.replaced(now, r)\n',''),
-('runners that failed are not asked again','(unanswered || failed) &&','unanswered &&'),
+('runners that failed are not asked again','	failed := r.look == 0 && ','	failed := false && r.look == 0 && '),
 ('rows of ends stay','		f = c.gatherExpired()','		break'),
 ('ends of former holders stay','			c.ended.add(id, final{state: e.State, at: now','			_, _ = now, (final{state: e.State, at: now'),
 ('gangs in part','	if len(places) < len(g) {','	if len(places) < 1 {'),
