cell: begin with the speed of a runner's kind

Change: while little is known of a runner, the speed of its kind counts for three samples. Runs that stand still and outliers tell nothing of a kind. The same holds for each new holder.

--- a/core/cell/admit.go
+++ b/core/cell/admit.go
@@ -71,7 +71,7 @@
 	}
 	for _, r := range c.sorted {
 		if r.listed && !r.Leaving && (r.fenced || !r.synced) {
-			capacity += float64(r.Room.CPU) * r.speed.rate
+			capacity += float64(r.Room.CPU) * r.speed.rate()
 		}
 	}
 	if capacity == 0 {
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -91,7 +91,7 @@
 		jobs:     map[string]*job{},
 		runners:  map[string]*runner{},
 		ledger:   ledger{flights: map[int64]*flight{}},
-		times:    times{queues: map[string]*queueTimes{}},
+		times:    times{queues: map[string]*queueTimes{}, kinds: map[string]*kindSpeed{}},
 		ended:    ended{jobs: map[string]final{}},
 		safeAt:   now.Add(t.Grace + s.Lease + s.Lease/leaseSlack),
 		safe:     t.Round <= 1,
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -137,7 +137,7 @@
 const safety = 1.3
 
 func (c *Cell) score(t *task, r *runner, n Room, expected, left float64) float64 {
-	f := r.speed.rate
+	f := r.speed.rate()
 	score := f
 	if expected/f*safety <= left {
 		score = 10 - f
@@ -209,7 +209,7 @@
 	c.clearFor(now, t, r)
 	c.Counter.Count("starts", 1)
 	c.log("event", "start", "job", t.job.ID, "step", t.step, "task", t.index, "run", t.last, "runner", r.ID, "waited", now.Sub(t.job.arrived),
-		"left", t.job.due.Sub(now), "speed", r.speed.rate, "free", r.free().CPU)
+		"left", t.job.due.Sub(now), "speed", r.speed.rate(), "free", r.free().CPU)
 	c.Orders.Start(r.target(), order.Start{
 		Task: x.key.task, Run: x.key.run, Spec: t.job.Spec, Deadline: deadline, Token: r.token,
 		Saved: t.saved.value, Ticket: t.job.ticket(t.step, r),
--- a/core/cell/health.go
+++ b/core/cell/health.go
@@ -48,25 +48,6 @@
 	return now.Before(h.until)
 }
 
-// speed is the learned speed of a runner against the estimates of what it ran.
-type speed struct {
-	log  float64 // mean of the logarithm
-	rate float64 // how much work is done in a unit of time
-	n    float64
-}
-
-// Weights of learning.
-const (
-	speedPrior  = 3.0
-	speedWindow = 24.0
-)
-
-func (s *speed) learn(ratio float64) {
-	s.n = min(s.n+1, speedWindow)
-	s.log += (math.Log(ratio) - s.log) / (s.n + speedPrior)
-	s.rate = math.Exp(s.log)
-}
-
 // queueTimes is what is learned of the tasks of a queue: how long they take on a
 // runner of speed one, in milliseconds.
 type queueTimes struct {
@@ -76,6 +57,7 @@
 
 type times struct {
 	queues map[string]*queueTimes
+	kinds  map[string]*kindSpeed // by service and kind
 }
 
 const timesWindow = 200.0
@@ -108,7 +90,7 @@
 		c.times.queues[j.Queue.Name] = q
 	}
 	q.n = min(q.n+1, timesWindow)
-	q.mean += (took*x.runner.speed.rate - q.mean) / q.n
+	q.mean += (took*x.runner.speed.rate() - q.mean) / q.n
 	c.Counter.Took("run", now.Sub(x.answered))
 }
 
@@ -127,7 +109,7 @@
 		return
 	}
 	took := now.Sub(x.answered)
-	expected := span(c.expected(x.task.job, x.task.step) / x.runner.speed.rate)
+	expected := span(c.expected(x.task.job, x.task.step) / x.runner.speed.rate())
 	limit := time.Duration(overdue*float64(expected)) + overdueLess
 	if took < limit {
 		return
@@ -142,6 +124,6 @@
 	}
 	x.task.tried = append(x.task.tried, x.runner)
 	x.runner.health.failed(now)
-	x.runner.speed.learn(1 / overdue)
+	x.runner.speed.observe(1 / overdue)
 	c.stop(now, x, "stands still")
 }
--- a/core/cell/listing.go
+++ b/core/cell/listing.go
@@ -43,6 +43,7 @@
 	Addr    string
 	Service string
 	Zone    string
+	Kind    string // of the machine; runners of one kind are about as fast
 	Rack    string
 	Labels  []string
 	Leaving bool
@@ -69,18 +70,21 @@
 func (c *Cell) enter(now time.Time, l Listing) {
 	r := c.runners[l.ID]
 	if r == nil {
-		r = &runner{speed: speed{rate: 1}, ends: map[int64]bool{}, runs: map[runKey]*run{}}
+		r = &runner{ends: map[int64]bool{}, runs: map[runKey]*run{}}
 		r.Listing = l
 		c.runners[l.ID] = r
 		at, _ := slices.BinarySearchFunc(c.sorted, l.ID, func(r *runner, id string) int { return strings.Compare(r.ID, id) })
 		c.sorted = slices.Insert(c.sorted, at, r)
-		c.log("event", "runner", "runner", l.ID, "state", "listed", "service", l.Service, "zone", l.Zone,
+		c.log("event", "runner", "runner", l.ID, "state", "listed", "service", l.Service, "zone", l.Zone, "kind", l.Kind,
 			"cpu", l.Room.CPU, "born", l.Born)
 	}
 	if l.Leaving && !r.Leaving {
 		c.log("event", "runner", "runner", l.ID, "state", "leaving", "runs", len(r.runs))
 	}
 	fresh := l.Addr != r.Addr || (r.life != 0 && l.Born > r.life)
+	if kind := c.kind(l.Service, l.Kind); r.speed.kind != kind {
+		r.speed = speed{kind: kind}
+	}
 	r.Listing = l
 	r.listed = true
 	if fresh && r.life != 0 {
--- a/core/cell/runner_world_test.go
+++ b/core/cell/runner_world_test.go
@@ -23,6 +23,7 @@
 	life    int
 	began   time.Time
 	cpu     int
+	kind    string
 	listed  bool
 	cut     bool
 	dead    bool
@@ -99,7 +100,7 @@
 
 func (r *simRunner) listing() cell.Listing {
 	return cell.Listing{
-		ID: r.id, Addr: r.id, Service: "s", Born: r.born, Labels: []string{"a"},
+		ID: r.id, Addr: r.id, Service: "s", Kind: r.kind, Born: r.born, Labels: []string{"a"},
 		Room: cell.Room{CPU: r.cpu, Memory: 1 << 20},
 	}
 }
--- /dev/null
+++ b/core/cell/speed_test.go
@@ -0,0 +1,55 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gypsumward/core/work"
+)
+
+// TestSpeedByKind has runners of two kinds, one of them slow: once a few of the slow
+// ones are known, urgent work keeps off the others of their kind too.
+func TestSpeedByKind(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 16, 32000)
+	for i := range 16 {
+		r := w.runners[fmt.Sprintf("r%d", i)]
+		r.kind = "a"
+		if i%2 == 1 {
+			r.kind, r.slow = "b", 3
+		}
+	}
+	w.takeOver()
+	w.run(time.Second)
+	urgent := func(n int) {
+		j := newJob(n, true, work.Step{Count: 1, CPU: 20000, Estimate: 100})
+		j.Queue.Target = 1
+		w.submit(j)
+		w.run(time.Second)
+	}
+	for i := range 12 {
+		urgent(i + 1)
+	}
+	starts := func() (slow, untried int) {
+		for _, r := range w.runners {
+			if r.kind == "b" {
+				slow += len(r.highest)
+			}
+			if r.kind == "b" && len(r.highest) == 0 {
+				untried++
+			}
+		}
+		return slow, untried
+	}
+	before, untried := starts()
+	require.Positive(t, untried)
+	for i := range 20 {
+		urgent(i + 101)
+	}
+	after, _ := starts()
+	require.LessOrEqual(t, after-before, 1)
+	settled(t, w)
+}
