tenure: never replace a holder within its tenure

What the report and the code leave: the holder was in the data centre that was cut off with connections reset at 33.5 s. Instances outside took the refused connections for a dead holder and one replaced it after 0.33 s, leaving it 1 s of grace, but renewed at once what ran on the runners that it reached. The old holder, still within its tenure, gave those runners up when the leases that it had given were over, and started the task again on a runner on its own side.

Ruled out: another runner at the address (421 ends nothing while connections are refused); leases booked too short (every order with a deadline is booked before it is sent); the new silence of 1.2 s (the claim was that of a refused connection).

Change: a sign of life counts for 0.6 s instead of 1 s; a holder at whose address nothing listens is replaced 0.7 s after its last sign of life, and not before the own promise (0.6 s instead of 0.8 s) is over; a silent one after 1.2 s instead of 1.6 s. The grace of a former holder is gone, since there is no overlap left. With 0.6 s a holder without signs of life can not start anything again that it gave up after a lease.

New in the random plays: a holder replaced as soon as its tenure is over, each reaching some runners.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -35,12 +35,11 @@
 
 // Tenure tells which holding of the cell this is.
 type Tenure struct {
-	Name    string        // of the cell; the first part of its keys
-	Row     string        // key of the row of the holder
-	Epoch   int64         // version of that row, above all former ones
-	Round   int           // number of holders so far
-	Runners int           // that the former holder had; zero if there was none
-	Grace   time.Duration // for which the former holder may go on
+	Name    string // of the cell; the first part of its keys
+	Row     string // key of the row of the holder
+	Epoch   int64  // version of that row, above all former ones
+	Round   int    // number of holders so far
+	Runners int    // that the former holder had; zero if there was none
 }
 
 // Cell decides what runs where. Its exported fields are set before the first call.
@@ -93,7 +92,7 @@
 		ledger:   ledger{flights: map[int64]*flight{}},
 		times:    times{queues: map[string]*queueTimes{}, kinds: map[string]*kindSpeed{}},
 		ended:    ended{jobs: map[string]final{}},
-		safeAt:   now.Add(t.Grace + s.Lease + s.Lease/leaseSlack),
+		safeAt:   now.Add(s.Lease + s.Lease/leaseSlack),
 		safe:     t.Round <= 1,
 	}
 }
--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -137,6 +137,16 @@
 		})
 		w.after(6*time.Second, func() { w.holder().blind = nil })
 	}},
+	{"holder cut off and replaced once its tenure is over, each reaching some runners", func(w *world) {
+		p := w.holder()
+		p.cut = true
+		p.blind = map[string]bool{"r0": true, "r1": true, "r2": true}
+		w.after(simTenure+5*time.Millisecond, func() {
+			w.takeOver().blind = map[string]bool{"r3": true, "r4": true, "r5": true}
+			w.after(3*time.Second, p.release)
+		})
+		w.after(6*time.Second, func() { w.holder().blind = nil })
+	}},
 	{"first runs fail, store loses answers, holders killed", func(w *world) {
 		for _, r := range w.runners {
 			r.first = true
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -83,7 +83,7 @@
 		Term: t, Runners: r, Store: st, Clock: clock,
 		messages: make(chan cell.Message, queueSize), over: make(chan struct{}),
 	}
-	l.cell = cell.New(cell.Tenure{Name: name, Row: tenure.Key(name, tenure.HolderRow), Epoch: t.Epoch, Round: t.Round, Runners: t.Runners, Grace: t.Grace}, s, clock.Now())
+	l.cell = cell.New(cell.Tenure{Name: name, Row: tenure.Key(name, tenure.HolderRow), Epoch: t.Epoch, Round: t.Round, Runners: t.Runners}, s, clock.Now())
 	l.cell.Log, l.cell.Counter = logger, counter
 	l.cell.Orders, l.cell.Store = orders{l}, writes{l}
 	l.cell.Wall = (&daytime.Clock{Steady: clock.Now, Wall: time.Now}).Now
--- a/core/promise/greeting.go
+++ b/core/promise/greeting.go
@@ -9,7 +9,7 @@
 
 // Lengths of promises.
 const (
-	Plain = 800 * time.Millisecond
+	Plain = 600 * time.Millisecond
 	Dark  = 6 * time.Second // while the store shows no signs of life of the holder
 )
 
--- a/core/tenure/keeper.go
+++ b/core/tenure/keeper.go
@@ -17,8 +17,9 @@
 // Defaults of Settings.
 const (
 	DefaultBeat    = 300 * time.Millisecond
-	DefaultLease   = time.Second
-	DefaultStale   = 1600 * time.Millisecond
+	DefaultLease   = 600 * time.Millisecond
+	DefaultRefused = 700 * time.Millisecond
+	DefaultStale   = 1200 * time.Millisecond
 	DefaultTimeout = 700 * time.Millisecond
 	DefaultWatch   = time.Second
 	DefaultProbe   = 100 * time.Millisecond
@@ -30,6 +31,7 @@
 type Settings struct {
 	Beat    time.Duration // between signs of life
 	Lease   time.Duration // for which a sign of life counts, from its sending
+	Refused time.Duration // without a sign of life until a holder is replaced at whose address nothing listens; above Lease
 	Stale   time.Duration // without a sign of life until the holder is replaced; above Lease
 	Timeout time.Duration // for a call of the store
 	Watch   time.Duration // for which the store waits for a change
@@ -46,6 +48,7 @@
 	set(&s.Beat, DefaultBeat)
 	set(&s.Lease, DefaultLease)
 	set(&s.Stale, DefaultStale)
+	set(&s.Refused, DefaultRefused)
 	set(&s.Timeout, DefaultTimeout)
 	set(&s.Watch, DefaultWatch)
 	set(&s.Probe, DefaultProbe)
@@ -92,8 +95,6 @@
 	Epoch   int64 // version of the row
 	Round   int
 	Runners int // of the former holder
-	// Grace is for how long the former holder may go on to count itself as such.
-	Grace time.Duration
 }
 
 // Leader does what a holder does. Its methods must not call the Keeper.
@@ -140,8 +141,7 @@
 	known   bool      // the rows have been read
 	term    Term      // of this instance, if leading
 	leading bool
-	retired bool          // does not become the holder any more
-	grace   time.Duration // of the term that is being claimed
+	retired bool // does not become the holder any more
 	number  int64
 	changed chan struct{}
 	look    chan struct{}
@@ -277,7 +277,7 @@
 		k.Leader.Lose(former, "the row names "+h.Node)
 	}
 	if k.leading {
-		k.term = Term{Epoch: r.Version, Round: h.Round, Runners: k.beat.Runners, Grace: k.grace}
+		k.term = Term{Epoch: r.Version, Round: h.Round, Runners: k.beat.Runners}
 		k.Leader.Lead(k.term)
 	}
 }
@@ -338,7 +338,7 @@
 		if idle {
 			continue
 		}
-		why, grace := "", time.Duration(0)
+		why := ""
 		switch {
 		case version == 0 || holder.Life == "":
 			why = "there is none"
@@ -353,14 +353,14 @@
 				refused = time.Time{}
 			case refused.IsZero() || seen.After(refused):
 				refused = now
-			case now.Sub(refused) > k.Settings.Beat+k.Settings.Beat/10:
-				// A link that is cut may refuse too, so the holder may be alive.
-				why, grace = "nothing listens there and no sign of life", max(k.Settings.Lease, promised.Sub(now))
+			case now.Sub(seen) > k.Settings.Refused && now.After(promised):
+				// A link that is cut may refuse too, so the holder may be alive. Its tenure is over.
+				why = "nothing listens there and no sign of life"
 			}
 		}
 		if why != "" {
 			if k.queue(ctx, version, beat) {
-				k.claim(ctx, version, beat, holder.Round+1, why, grace)
+				k.claim(ctx, version, beat, holder.Round+1, why)
 			}
 		}
 	}
@@ -406,10 +406,7 @@
 
 // claim puts the own name if the row is still as it was and no sign of life has come
 // since it was decided.
-func (k *Keeper) claim(ctx context.Context, version, beat int64, round int, why string, grace time.Duration) {
-	k.mu.Lock()
-	k.grace = grace
-	k.mu.Unlock()
+func (k *Keeper) claim(ctx context.Context, version, beat int64, round int, why string) {
 	_ = k.Log.Log("event", "claim", "why", why, "version", version, "round", round)
 	k.put(ctx, version, Holder{Member: k.Self, Round: round},
 		table.Op{Key: k.key(BeatRow), If: beat, Check: true})
--- a/scripts/mechanisms.py
+++ b/scripts/mechanisms.py
@@ -34,7 +34,6 @@
 ('attempts without limit','if t.failures() >= max(j.Queue.Attempts, 1) {','if t.failures() >= 99 {'),
 ('order of steps ignored','if j.open[a] > 0 {','if j.open[a] < 0 {'),
 ('old list taken','		return // overtaken by a later answer\n',''),
-('no grace','t.Grace + ',''),
 ('renewed without the lease',' || !now.Before(c.leased) {',' {'),
 ('holds that fail are no silence','		c.missed(r, sent)\n',''),
 ('another runner at the address unnoticed','			c.replaced(now, r)\n',''),
