queue, gypsumward: jobs of the users' platform from the command line, settings checked

Cause: gypsumctl spoke only the product's own interface; the settings of the platform could only be checked by starting an instance.

Change: gypsumctl queue submit, state, cancel and pending, with the exit codes of the other subcommands; gypsumward -platform -check FILE.

Test: TestQueue, TestQueueUnreachable.

--- a/gypsumctl/main.go
+++ b/gypsumctl/main.go
@@ -16,6 +16,7 @@
 	"gypsumward/gypsumctl/command"
 	"gypsumward/gypsumctl/instances"
 	"gypsumward/gypsumctl/job"
+	"gypsumward/gypsumctl/queue"
 	"gypsumward/gypsumctl/request"
 	"gypsumward/gypsumctl/setting"
 	"gypsumward/gypsumctl/timeline"
@@ -45,6 +46,7 @@
 		Sub: []*command.Command{
 			job.Command(),
 			request.Command(),
+			queue.Command(),
 			instances.Command(),
 			timeline.Command(),
 			setting.Command(),
--- a/gypsumward/main.go
+++ b/gypsumward/main.go
@@ -39,7 +39,7 @@
 
 const usage = `Usage: gypsumward -settings FILE
        gypsumward -check FILE
-       gypsumward -platform
+       gypsumward -platform [-check FILE]
 
 Runs an entry instance, or only checks its settings. With -platform it runs on the
 users' platform, with the settings file that the environment names.
@@ -57,7 +57,7 @@
 	}
 	flag.Parse()
 	if *hostedByPlatform {
-		os.Exit(runHosted())
+		os.Exit(runHosted(*check))
 	}
 	path := *settings
 	if *check != "" {
@@ -83,13 +83,22 @@
 	}
 }
 
-// runHosted runs an instance on the users' platform and returns the exit code.
-func runHosted() int {
-	s, err := platform.Load(os.Getenv(platform.Variable))
+// runHosted runs an instance on the users' platform, or only checks the settings file
+// named by check, and returns the exit code.
+func runHosted(check string) int {
+	path := check
+	if path == "" {
+		path = os.Getenv(platform.Variable)
+	}
+	s, err := platform.Load(path)
 	if err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "settings: "+err.Error())
 		return exitUsage
 	}
+	if check != "" {
+		_, _ = fmt.Fprintln(os.Stdout, path+": ok")
+		return 0
+	}
 	debug.SetMemoryLimit(int64(s.Memory) << 20 * memoryPart / 100)
 	debug.SetGCPercent(gcPercent)
 	kratoslog.SetLogger(quiet{})
