--- a/core/tenure/keeper.go
+++ b/core/tenure/keeper.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -14,47 +13,6 @@
 	"gypsumward/core/table"
 )
 
-// Defaults of Settings.
-const (
-	DefaultBeat    = 300 * time.Millisecond
-	DefaultLease   = 600 * time.Millisecond
-	DefaultRefused = 700 * time.Millisecond
-	DefaultStale   = 1200 * time.Millisecond
-	DefaultTimeout = 700 * time.Millisecond
-	DefaultWatch   = time.Second
-	DefaultProbe   = 100 * time.Millisecond
-	step           = 25 * time.Millisecond
-	jitter         = 60 * time.Millisecond
-)
-
-// Settings are the times of a Keeper. Zero values mean the defaults.
-type Settings struct {
-	Beat    time.Duration // between signs of life
-	Lease   time.Duration // for which a sign of life counts, from its sending
-	Refused time.Duration // without a sign of life until a holder is replaced at whose address nothing listens; above Lease
-	Stale   time.Duration // without a sign of life until the holder is replaced; above Lease
-	Timeout time.Duration // for a call of the store
-	Watch   time.Duration // for which the store waits for a change
-	Probe   time.Duration // between looks whether the holder listens
-	Rest    time.Duration // between readings of the rows while the holder answers; zero means none
-}
-
-func (s Settings) withDefaults() Settings {
-	set := func(d *time.Duration, to time.Duration) {
-		if *d == 0 {
-			*d = to
-		}
-	}
-	set(&s.Beat, DefaultBeat)
-	set(&s.Lease, DefaultLease)
-	set(&s.Stale, DefaultStale)
-	set(&s.Refused, DefaultRefused)
-	set(&s.Timeout, DefaultTimeout)
-	set(&s.Watch, DefaultWatch)
-	set(&s.Probe, DefaultProbe)
-	return s
-}
-
 // Store is what a Keeper needs of the store.
 type Store interface {
 	Write(ctx context.Context, w table.Write) (table.Written, error)
@@ -67,36 +25,6 @@
 	Now() time.Time
 }
 
-// Member is one life of an instance.
-type Member struct {
-	Node  string  `json:"node"`
-	Life  string  `json:"life"` // differs with every start
-	Addr  string  `json:"addr"` // for calls between instances
-	Zone  string  `json:"zone"`
-	Since int64   `json:"since"`           // milliseconds on the time of day, for choosing a successor only
-	Cores float64 `json:"cores,omitempty"` // that the instance may use
-}
-
-// Holder is the row of the holder.
-type Holder struct {
-	Member
-	Round int `json:"round"` // holders so far
-}
-
-// Beat is the sign of life of a holder.
-type Beat struct {
-	Life    string `json:"life"`
-	Number  int64  `json:"number"`
-	Runners int    `json:"runners"` // to which it can give orders
-}
-
-// Term is one holding.
-type Term struct {
-	Epoch   int64 // version of the row
-	Round   int
-	Runners int // of the former holder
-}
-
 // Leader does what a holder does. Its methods must not call the Keeper.
 type Leader interface {
 	// Lead begins a term.
@@ -183,18 +111,6 @@
 	wg.Wait()
 }
 
-// Key returns the key of the row of the holder of a cell, or of its sign of life. Each
-// cell has a table of its own, so that a watch tells of nothing else.
-func Key(cell, row string) string {
-	return cell + "/cells-" + cell + "/" + row
-}
-
-// Names of rows.
-const (
-	HolderRow = "holder"
-	BeatRow   = "beat"
-)
-
 func (k *Keeper) key(row string) string {
 	return Key(k.Cell, row)
 }
@@ -323,95 +239,6 @@
 	}
 }
 
-// succeed becomes the holder when there is none.
-func (k *Keeper) succeed(ctx context.Context) {
-	probed, refused := time.Time{}, time.Time{}
-	for ctx.Err() == nil {
-		steady.Sleep(ctx, step)
-		promised := k.Promised()
-		now := k.Clock.Now()
-		k.mu.Lock()
-		idle := !k.known || k.leading || k.retired
-		holder, version, beat, seen := k.holder, k.version, k.beatRow, k.seen
-		stale := k.staleAt(now) && now.After(promised)
-		k.mu.Unlock()
-		if idle {
-			continue
-		}
-		why := ""
-		switch {
-		case version == 0 || holder.Life == "":
-			why = "there is none"
-		case holder.Node == k.Self.Node:
-			why = "it was a former life of this instance"
-		case stale:
-			why = "no sign of life"
-		case now.Sub(probed) >= k.Settings.Probe:
-			probed = now
-			switch {
-			case !k.Refuses(ctx, holder.Addr):
-				refused = time.Time{}
-			case refused.IsZero() || seen.After(refused):
-				refused = now
-			case now.Sub(seen) > k.Settings.Refused && now.After(promised):
-				// A link that is cut may refuse too, so the holder may be alive. Its tenure is over.
-				why = "nothing listens there and no sign of life"
-			}
-		}
-		if why != "" {
-			if k.queue(ctx, version, beat) {
-				k.claim(ctx, version, beat, holder.Round+1, why)
-			}
-		}
-	}
-}
-
-// BeatSeen reports whether the store lately showed a sign of life of the holder. If it
-// did not, nobody may be able to replace the holder.
-func (k *Keeper) BeatSeen() bool {
-	now := k.Clock.Now()
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return !k.healthy.IsZero() && now.Sub(k.seen) < beatsMissed*k.Settings.Beat+k.Settings.Rest
-}
-
-// beatsMissed is how many signs of life may be missing until the way by the store
-// counts as broken.
-const beatsMissed = 3
-
-// staleAt reports whether the holder has given no sign of life for long.
-func (k *Keeper) staleAt(now time.Time) bool {
-	return !k.healthy.IsZero() && now.Sub(k.seen) > k.Settings.Stale && now.Sub(k.healthy) > k.Settings.Stale
-}
-
-// queue waits so that instances that are better placed claim first, for longer when
-// there has been no holder yet and all instances start. It reports whether the rows of
-// the holder and its beat are still of the versions given.
-func (k *Keeper) queue(ctx context.Context, version, beat int64) bool {
-	d := rand.N(jitter)
-	if k.Delay != nil {
-		d += k.Delay()
-	}
-	if version == 0 {
-		d *= firstDelay
-	}
-	steady.Sleep(ctx, d)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.version == version && k.beatRow == beat
-}
-
-// firstDelay is how many times longer the first claim of a cell waits.
-const firstDelay = 5
-
-// claim puts the own name if the row is still as it was and no sign of life has come
-// since it was decided.
-func (k *Keeper) claim(ctx context.Context, version, beat int64, round int, why string) {
-	_ = k.Log.Log("event", "claim", "why", why, "version", version, "round", round)
-	k.put(ctx, version, Holder{Member: k.Self, Round: round},
-		table.Op{Key: k.key(BeatRow), If: beat, Check: true})
-}
-
 // put writes the row of the holder on the condition of its version and of others. It
 // reports whether the row changed as asked.
 func (k *Keeper) put(ctx context.Context, version int64, h Holder, others ...table.Op) bool {
@@ -448,11 +275,3 @@
 	_ = k.Log.Log("event", "resign", "to", to.Node, "epoch", term.Epoch)
 	return k.put(ctx, term.Epoch, Holder{Member: to, Round: term.Round + 1})
 }
-
-func encode(v any) json.RawMessage {
-	raw, err := json.Marshal(v)
-	if err != nil {
-		panic("tenure: a row cannot be encoded: " + err.Error())
-	}
-	return raw
-}
