cell: test places of tasks, tickets that end and tasks that last

Labels, racks, spread and steps that should be together were only code. A task that lasts shows 100 percent at the simulated runners now, as at the real ones, so that one that is taken for a straggler is noticed.

--- /dev/null
+++ b/core/cell/places_test.go
@@ -0,0 +1,74 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gypsumward/core/cell"
+	"gypsumward/core/work"
+)
+
+// TestPlaces checks where the tasks of a step start on idle runners of three racks.
+func TestPlaces(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name    string
+		step    work.Step
+		racks   int    // on which they start; zero means any
+		rack    string // on which all start
+		most    int    // on one runner; zero means any
+		refused bool
+	}{
+		{"a rack that is preferred", work.Step{Count: 4, Rack: "k1"}, 1, "k1", 0, false},
+		{"more than the rack holds", work.Step{Count: 10, Rack: "k1"}, 0, "", 2, false},
+		{"a label that is needed", work.Step{Count: 8, Label: "k2"}, 1, "k2", 0, false},
+		{"together", work.Step{Count: 8, Colocate: true}, 1, "", 0, false},
+		{"a gang together", work.Step{Count: 8, Colocate: true, Gang: true}, 1, "", 0, false},
+		{"spread", work.Step{Count: 9, Spread: 1}, 0, "", 1, false},
+		{"a gang spread", work.Step{Count: 9, Spread: 1, Gang: true}, 0, "", 1, false},
+		{"too large", work.Step{Count: 1, CPU: 33000}, 0, "", 0, true},
+		{"accelerators that nobody has", work.Step{Count: 1, GPU: 1}, 0, "", 0, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(1, 12, 32000)
+			for i := range 12 {
+				w.runners[fmt.Sprintf("r%d", i)].rack = fmt.Sprintf("k%d", i%3)
+			}
+			w.takeOver()
+			w.run(time.Second)
+			if test.step.CPU == 0 {
+				test.step.CPU = 14000
+			}
+			test.step.Estimate = 2000
+			j := newJob(1, true, test.step)
+			w.submit(j)
+			w.run(500 * time.Millisecond)
+			if test.refused {
+				require.Equal(t, cell.Refused, w.answers[j.ID].Verdict)
+				require.Equal(t, cell.ReasonTasks, w.answers[j.ID].Reason)
+				return
+			}
+			racks := map[string]int{}
+			for id, r := range w.runners {
+				if len(r.runs) > 0 {
+					racks[r.rack] += len(r.runs)
+				}
+				if test.most > 0 {
+					require.LessOrEqual(t, len(r.runs), test.most, id)
+				}
+			}
+			if test.racks > 0 {
+				require.Len(t, racks, test.racks)
+			}
+			if test.rack != "" {
+				require.Equal(t, map[string]int{test.rack: test.step.Count}, racks)
+			}
+			w.run(20 * time.Second)
+			settled(t, w)
+		})
+	}
+}
--- a/core/cell/runner_world_test.go
+++ b/core/cell/runner_world_test.go
@@ -24,6 +24,7 @@
 	began   time.Time
 	cpu     int
 	kind    string
+	rack    string
 	listed  bool
 	cut     bool
 	dead    bool
@@ -100,7 +101,7 @@
 
 func (r *simRunner) listing() cell.Listing {
 	return cell.Listing{
-		ID: r.id, Addr: r.id, Service: "s", Kind: r.kind, Born: r.born, Labels: []string{"a"},
+		ID: r.id, Addr: r.id, Service: "s", Kind: r.kind, Rack: r.rack, Born: r.born, Labels: []string{"a", r.rack},
 		Room: cell.Room{CPU: r.cpu, Memory: 1 << 20},
 	}
 }
@@ -374,8 +375,11 @@
 	for _, t := range r.tasks() {
 		x := r.runs[t]
 		percent := 100 * float64(r.world.now.Sub(x.began)) / float64(x.took)
-		if x.still {
+		switch j := r.world.asked[t.Job]; {
+		case x.still:
 			percent = 0
+		case j != nil && j.Steps[t.Step].Lasting:
+			percent = 100 // at work
 		}
 		h.Active = append(h.Active, order.Active{Task: t, Run: x.number, Percent: percent, Saved: r.save(t, x)})
 	}
--- a/core/cell/share_test.go
+++ b/core/cell/share_test.go
@@ -105,3 +105,18 @@
 		})
 	}
 }
+
+// TestTicketsEnd runs a step for longer than a ticket holds: no start has one that has
+// ended.
+func TestTicketsEnd(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 12, 32000)
+	w.takeOver()
+	w.run(time.Second)
+	j := newJob(1, true, work.Step{Count: 30, CPU: 14000, Estimate: 1000})
+	j.Queue.Advised = true
+	w.submit(j)
+	w.run(20 * time.Second)
+	settled(t, w)
+	require.Zero(t, w.hows[order.How("unadvised")])
+}
