--- a/scripts/mechanisms.py
+++ b/scripts/mechanisms.py
@@ -32,7 +32,7 @@
 ('unanswered starts forgotten','			c.fence(now, r)\n			return\n		}\n		if !x.stopping','			c.release(x)\n			return\n		}\n		if !x.stopping'),
 ('stop counts as gone','	c.Orders.Stop(x.runner.target()','	c.release(x)\n	c.Orders.Stop(x.runner.target()'),
 ('attempts without limit','if t.failures() >= max(j.Queue.Attempts, 1) {','if t.failures() >= 99 {'),
-('order of steps ignored','if j.open[a] > 0 {','if j.open[a] < 0 {'),
+('order of steps ignored','if j.open[first+a] > 0 {','if j.open[first+a] < 0 {'),
 ('old list taken','		return // overtaken by a later answer\n',''),
 ('renewed without the lease',' || !now.Before(c.leased) {',' {'),
 ('holds that fail are no silence','		c.missed(r, sent)\n',''),
