cell: hold the ends of a job that has ended until its rows tell so

Ruled out: the acknowledgement of the first member (it is held until the row stands).

Change: ends of stored jobs that are listed after the one that ended the job are held like that one.

--- a/core/cell/ends.go
+++ b/core/cell/ends.go
@@ -64,8 +64,10 @@
 		t.save(e.Run, e.Saved)
 	}
 	switch {
-	case t == nil || j.state.Ended():
+	case t == nil:
 		c.drop(x, ref)
+	case j.state.Ended():
+		c.trailing(j, x, ref)
 	case t.spec().Lasting:
 		c.lasted(now, t, x, e, ref)
 	case e.How == order.Finished:
@@ -88,6 +90,19 @@
 	}
 }
 
+// trailing takes an end that is listed after the last one that a job needed. It is not
+// acknowledged before the rows tell that the job has ended: the other one may be lost.
+func (c *Cell) trailing(j *job, x *run, ref endRef) {
+	if _, told := c.ended.jobs[j.ID]; told || j.Transient {
+		c.drop(x, ref)
+		return
+	}
+	if x != nil {
+		c.release(x)
+	}
+	j.unsettled = append(j.unsettled, ref)
+}
+
 // save notes a checkpoint of a run.
 func (t *task) save(run int, value string) {
 	if value == "" || !t.spec().Checkpoint {
--- a/core/cell/kinds_test.go
+++ b/core/cell/kinds_test.go
@@ -211,3 +211,23 @@
 	w.run(20 * time.Second)
 	settled(t, w)
 }
+
+// TestGangEndsHeld lets the store fail before a gang ends: no end of a member is
+// acknowledged before the rows tell of it.
+func TestGangEndsHeld(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 3, 32000)
+	w.takeOver()
+	w.run(time.Second)
+	w.submit(newJob(1, false, gangOf(6, 1000)))
+	w.run(300 * time.Millisecond)
+	w.store.down = true
+	w.run(2 * time.Second)
+	require.Equal(t, 6, w.hows[order.Finished])
+	for id, r := range w.runners {
+		require.Len(t, r.ends, 2, id)
+	}
+	w.store.down = false
+	w.run(5 * time.Second)
+	settled(t, w)
+}
