cell, hosted, tenure: say once what stood several times

A run was given back behind the same check for nil in six places; release takes nil now. The failures of a gang and of a task were counted by two functions, of which the first is the second over one member. Whether the adviser allows a runner was asked with a time kept in the cell, though the caller has it; the names of steps were divided and put together again beside task.name and job.task. Three loops went over the cells that an instance holds. health.proven was written and never read.

--- a/core/cell/advice.go
+++ b/core/cell/advice.go
@@ -59,16 +59,15 @@
 	return t.value != "" && t.life == r.life && now.Add(adviceMargin).Before(t.until)
 }
 
-// advised reports whether r may run t as far as the adviser is concerned.
-func (c *Cell) advised(t *task, r *runner) bool {
-	return !t.job.Queue.Advised || t.job.advice(t.step).tickets[r.ID].holds(r, c.adviceTime)
+// advised reports whether r may run t at now as far as the adviser is concerned.
+func (t *task) advised(now time.Time, r *runner) bool {
+	return !t.job.Queue.Advised || t.job.advice(t.step).tickets[r.ID].holds(r, now)
 }
 
 // askAdvice asks for runners for a step, unless a question is on its way or enough are
 // known. Of a runner that was named nothing more is asked while its life lasts, but for
 // a new ticket.
 func (c *Cell) askAdvice(now time.Time, j *job, step int, usable []*runner) {
-	c.adviceTime = now
 	if !j.Queue.Advised || c.Adviser == nil || c.advising || now.Before(c.adviceNext) {
 		return
 	}
@@ -99,8 +98,7 @@
 	}
 	c.advising = true
 	c.Counter.Count("advice", 1)
-	steps := len(j.Steps)
-	c.Adviser.Advise(work.Task{Job: j.ID, Occurrence: step / steps, Step: step % steps}, ask)
+	c.Adviser.Advise(j.tasks[step][0].name(), ask)
 }
 
 // Advised takes the answer to a question, given the time at which it was asked.
@@ -116,7 +114,7 @@
 	if j == nil {
 		return
 	}
-	a := j.advice(t.Occurrence*len(j.Steps) + t.Step)
+	a := j.advice(j.task(t).step)
 	if !v.Known {
 		c.adviceNext = now.Add(advicePause)
 		for _, id := range runners {
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -67,7 +67,6 @@
 
 	advising   bool      // a question to the adviser is on its way
 	adviceNext time.Time // when the next one may be asked
-	adviceTime time.Time // of the placing that goes on
 
 	loaded  bool      // the rows have been read
 	safe    bool      // no run of a former holder is left that is not booked
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -122,7 +122,7 @@
 	var best *runner
 	bestScore := 0.0
 	for _, r := range usable {
-		if !c.fit(t, r, n) {
+		if !c.fit(now, t, r, n) {
 			continue
 		}
 		score := c.score(t, r, n, expected, left)
@@ -159,8 +159,8 @@
 	return score
 }
 
-// fit reports whether r may run t now.
-func (c *Cell) fit(t *task, r *runner, n Room) bool {
+// fit reports whether r may run t at now.
+func (c *Cell) fit(now time.Time, t *task, r *runner, n Room) bool {
 	s := t.spec()
 	if r.Service != t.job.Queue.Service || !r.free().fits(n) {
 		return false
@@ -168,7 +168,7 @@
 	if s.Fills && !r.mayFill(s) {
 		return false
 	}
-	if !c.advised(t, r) {
+	if !t.advised(now, r) {
 		return false
 	}
 	if s.Label != "" && !slices.Contains(r.Labels, s.Label) {
--- a/core/cell/ends.go
+++ b/core/cell/ends.go
@@ -83,9 +83,7 @@
 			c.drop(x, ref)
 			return
 		}
-		if x != nil {
-			c.release(x)
-		}
+		c.release(x)
 		c.hold(j, ref)
 	}
 }
@@ -97,9 +95,7 @@
 		c.drop(x, ref)
 		return
 	}
-	if x != nil {
-		c.release(x)
-	}
+	c.release(x)
 	j.unsettled = append(j.unsettled, ref)
 }
 
@@ -135,9 +131,7 @@
 
 // drop takes an end that changes no job.
 func (c *Cell) drop(x *run, ref endRef) {
-	if x != nil {
-		c.release(x)
-	}
+	c.release(x)
 	ref.settle()
 }
 
@@ -146,9 +140,7 @@
 func (c *Cell) done(now time.Time, t *task, x *run, e order.End, ref endRef) {
 	j := t.job
 	if t.done && t.spec().Gang {
-		if x != nil {
-			c.release(x)
-		}
+		c.release(x)
 		c.hold(j, ref)
 		return
 	}
@@ -157,9 +149,7 @@
 		return
 	}
 	t.last, t.done = e.Run, true
-	if x != nil {
-		c.release(x)
-	}
+	c.release(x)
 	j.open[t.step]--
 	c.finishedGang(t, e)
 	c.hold(j, ref)
@@ -184,9 +174,7 @@
 	c.blame(now, j, r)
 	t.tried = append(t.tried, r)
 	c.log("event", "fail", "job", j.ID, "task", t.index, "run", e.Run, "runner", r.ID, "fails", len(t.fails), "of", j.Queue.Attempts)
-	if x != nil {
-		c.release(x)
-	}
+	c.release(x)
 	c.hold(j, ref)
 	if t.failures() >= max(j.Queue.Attempts, 1) {
 		c.finish(now, j, work.Failed)
@@ -195,10 +183,13 @@
 
 // failures returns how many runs of t, or of its gang, have failed.
 func (t *task) failures() int {
-	if g := t.job.gang(t.step); g != nil {
-		return g.failures()
+	runs := map[int]bool{}
+	for _, m := range t.members() {
+		for _, n := range m.fails {
+			runs[n] = true
+		}
 	}
-	return len(t.fails)
+	return len(runs)
 }
 
 // hold keeps an end from being acknowledged until the rows hold what follows from it.
--- a/core/cell/gang.go
+++ b/core/cell/gang.go
@@ -44,17 +44,6 @@
 	}
 }
 
-// failures returns how many runs of the gang have failed.
-func (g gang) failures() int {
-	runs := map[int]bool{}
-	for _, t := range g {
-		for _, n := range t.fails {
-			runs[n] = true
-		}
-	}
-	return len(runs)
-}
-
 // startGang starts all members, or none if they do not fit together.
 func (c *Cell) startGang(now time.Time, g gang, usable []*runner) bool {
 	if !g.ready() {
--- a/core/cell/health.go
+++ b/core/cell/health.go
@@ -18,7 +18,6 @@
 type health struct {
 	streak int // failures since the last success
 	until  time.Time
-	proven int           // successes since the last failure
 	answer time.Duration // average time of an answer
 }
 
@@ -29,7 +28,6 @@
 func (h *health) failed(now time.Time) {
 	rest := min(firstRest<<min(h.streak, 10), lastRest)
 	h.streak++
-	h.proven = 0
 	h.until = now.Add(rest)
 }
 
@@ -40,7 +38,6 @@
 
 func (h *health) succeeded() {
 	h.streak = 0
-	h.proven++
 }
 
 // resting reports whether the runner gets no work.
--- a/core/cell/run.go
+++ b/core/cell/run.go
@@ -91,12 +91,13 @@
 	return x
 }
 
-// release takes a run that is certainly over off the books.
+// release takes a run that is certainly over off the books, if it is on them. A run
+// that the cell does not know is nil.
 func (c *Cell) release(x *run) {
-	r := x.runner
-	if r.runs[x.key] != x {
+	if x == nil || x.runner.runs[x.key] != x {
 		return
 	}
+	r := x.runner
 	delete(r.runs, x.key)
 	r.used = r.used.less(x.room)
 	if x.stray {
--- a/core/tenure/succeed.go
+++ b/core/tenure/succeed.go
@@ -44,10 +44,8 @@
 				why = "nothing listens there and no sign of life"
 			}
 		}
-		if why != "" {
-			if k.queue(ctx, version, beat) {
-				k.claim(ctx, version, beat, holder.Round+1, why)
-			}
+		if why != "" && k.queue(ctx, version, beat) {
+			k.claim(ctx, version, beat, holder.Round+1, why)
 		}
 	}
 }
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -18,6 +18,7 @@
 	"github.com/juju/errors"
 
 	"gypsumward/core/cell"
+	"gypsumward/core/lead"
 	"gypsumward/core/mirror"
 	"gypsumward/core/peer"
 	"gypsumward/core/record"
@@ -101,11 +102,7 @@
 
 // rebound puts changed bounds in force.
 func (h *Host) rebound() {
-	for _, s := range h.seated() {
-		if l := s.front.Current(); l != nil {
-			l.Adjust(h.bounds())
-		}
-	}
+	h.eachLead(func(_ *seat, l *lead.Lead) { l.Adjust(h.bounds()) })
 }
 
 // keepSlack is for how much longer than promised the end of a job is told.
--- a/gypsumward/hosted/seat.go
+++ b/gypsumward/hosted/seat.go
@@ -75,11 +75,7 @@
 
 // relist tells the leads of this instance of a new list of runners.
 func (h *Host) relist() {
-	for _, s := range h.seated() {
-		if l := s.front.Current(); l != nil {
-			l.Post(cell.ListMessage{Listings: h.listings(s)})
-		}
-	}
+	h.eachLead(func(s *seat, l *lead.Lead) { l.Post(cell.ListMessage{Listings: h.listings(s)}) })
 }
 
 // seated returns the seats; none before the plan is known.
@@ -93,12 +89,17 @@
 // leading returns the number of cells that this instance holds.
 func (h *Host) leading() int {
 	n := 0
+	h.eachLead(func(*seat, *lead.Lead) { n++ })
+	return n
+}
+
+// eachLead calls do for each cell that this instance holds.
+func (h *Host) eachLead(do func(s *seat, l *lead.Lead)) {
 	for _, s := range h.seated() {
-		if s.front.Current() != nil {
-			n++
+		if l := s.front.Current(); l != nil {
+			do(s, l)
 		}
 	}
-	return n
 }
 
 // claimDelay returns how long to wait before a cell is claimed.
--- a/scripts/mechanisms.py
+++ b/scripts/mechanisms.py
@@ -44,7 +44,7 @@
 ('gangs without a common number','	g.raise()\n',''),
 ('broken gangs wait','			c.stop(now, t.run, "its gang is not whole")\n',''),
 ('each member ends for itself','	c.finishedGang(t, e)\n',''),
-('failures of members, not of the gang','	return len(runs)\n','	return len(runs) / len(g)\n'),
+('failures of members, not of the gang','	return len(runs)\n','	return len(runs) / len(t.members())\n'),
 ('gangs starve','		if c.reserves(now, j) {','		if c.reserves(now, j) && false {'),
 ('gangs of any size','			wanted = j.Steps[s].Count','			wanted = 1'),
 ('occurrences before their time','	if step/steps >= j.occurring {','	if false {'),
