--- a/core/election/elector.go
+++ b/core/election/elector.go
@@ -52,8 +52,11 @@
 	// unanswered.
 	ConnectionRefused func(ctx context.Context, addr string) bool
 	// HolderReachable reports whether the holder is reachable from this instance. If it
-	// is, the rows are polled less often. It may be nil.
+	// is, the rows are polled less often and its address is not probed. It may be nil.
 	HolderReachable func() bool
+	// ChooseStandbys returns the nodes that may take over from a holder. If it is nil or
+	// returns none, every instance may.
+	ChooseStandbys func(holder Member) []string
 	// ClaimDelay returns how long this instance waits before it claims the cell, so that
 	// instances better suited to hold it claim first. It may be nil.
 	ClaimDelay func() time.Duration
@@ -69,6 +72,10 @@
 	lastHeartbeat     time.Time // when the heartbeat or the holder last changed
 	watchHealthySince time.Time // start of the period without failed store reads; zero after a failure
 	loaded            bool      // all rows have been read once
+	standbys          standbys
+	releasedEpoch     int64     // epoch of a holder that has given the cell up; zero if none has
+	runnersReported   int       // runners that the holder has reported otherwise than by a heartbeat
+	lastWritten       time.Time // when the last heartbeat of this instance that was written was sent
 	term              Term      // of this instance, if leading
 	leading           bool
 	retired           bool // this instance no longer takes over
@@ -105,8 +112,12 @@
 	e.retired = true
 }
 
-// Run tracks the holder, sends heartbeats and takes over until ctx ends.
+// Run tracks the holder, sends heartbeats and takes over until ctx ends. It may be called
+// again after it has returned, and does not take over before it has read the rows anew.
 func (e *Elector) Run(ctx context.Context) {
+	e.mu.Lock()
+	e.loaded, e.watchHealthySince, e.lastHeartbeat = false, time.Time{}, e.Clock.Now()
+	e.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, loop := range []func(context.Context){e.watchRows, e.sendHeartbeats, e.takeOver} {
 		wg.Go(func() { loop(ctx) })
@@ -174,6 +185,8 @@
 				e.heartbeat, e.lastHeartbeat = b, now
 			}
 			e.heartbeatVersion = max(e.heartbeatVersion, r.Version)
+		case e.key(StandbysRow):
+			e.standbys.apply(r)
 		}
 	}
 }
@@ -197,7 +210,8 @@
 		e.Leader.EndTerm(previousTerm, "the holder row names "+h.Node)
 	}
 	if e.leading {
-		e.term = Term{Epoch: r.Version, Number: h.TermNumber, PreviousRunners: e.heartbeat.Runners}
+		e.term = Term{Epoch: r.Version, Number: h.TermNumber, PreviousRunners: max(e.heartbeat.Runners, e.runnersReported)}
+		e.lastWritten = time.Time{}
 		e.Leader.BeginTerm(e.term)
 	}
 }
@@ -208,8 +222,9 @@
 	for ctx.Err() == nil {
 		e.mu.Lock()
 		leading, term, changed := e.leading, e.term, e.changed
+		released := e.releasedEpoch == term.Epoch
 		e.mu.Unlock()
-		if !leading {
+		if !leading || released {
 			select {
 			case <-changed:
 			case <-ctx.Done():
@@ -238,29 +253,45 @@
 	case err != nil:
 		monotonic.Sleep(ctx, 20*time.Millisecond)
 	case written.Committed:
+		e.mu.Lock()
+		e.lastWritten = now
+		e.mu.Unlock()
 		e.Leader.Renew(term, now.Add(e.Settings.LeaseDuration))
 	default:
 		e.applyRows(written.Conflicts)
 	}
 }
 
-// writeHolder writes the holder row, conditional on its version and on the conditions in
-// others. It reports whether the row was written; false after an error, when the outcome
-// is unknown.
-func (e *Elector) writeHolder(ctx context.Context, version int64, h Holder, others ...table.Op) bool {
+// writeHolder writes the holder row and the row of its standbys, conditional on their
+// versions and on the conditions in others. It reports whether the rows were written;
+// false after an error, when the outcome is unknown.
+func (e *Elector) writeHolder(ctx context.Context, version, standbysVersion int64, h Holder, others ...table.Op) bool {
 	limited, cancel := context.WithTimeout(ctx, e.Settings.StoreTimeout)
 	defer cancel()
+	standbysOp := table.Op{Key: e.key(StandbysRow), IfVersion: standbysVersion, CheckOnly: true}
+	if e.ChooseStandbys != nil {
+		if nodes := e.ChooseStandbys(h.Member); len(nodes) > 0 {
+			standbysOp.CheckOnly, standbysOp.Value = false, encode(Standbys{Nodes: nodes})
+		}
+	}
 	sent := e.Clock.Now()
 	value := encode(h)
 	written, err := e.Store.Write(limited, table.Write{Ops: append([]table.Op{
-		{Key: e.key(HolderRow), IfVersion: version, Value: value},
+		{Key: e.key(HolderRow), IfVersion: version, Value: value}, standbysOp,
 	}, others...)})
 	if err != nil {
 		return false
 	}
 	if written.Committed {
-		e.applyRows([]table.Row{{Key: e.key(HolderRow), Version: written.Version, Value: value}})
+		rows := []table.Row{{Key: e.key(HolderRow), Version: written.Version, Value: value}}
+		if !standbysOp.CheckOnly {
+			rows = append([]table.Row{{Key: e.key(StandbysRow), Version: written.Version, Value: standbysOp.Value}}, rows...)
+		}
+		e.applyRows(rows)
 		if h.Incarnation == e.Self.Incarnation {
+			e.mu.Lock()
+			e.lastWritten = sent
+			e.mu.Unlock()
 			e.Leader.Renew(Term{Epoch: written.Version, Number: h.TermNumber}, sent.Add(e.Settings.LeaseDuration))
 		}
 		return true
@@ -273,11 +304,16 @@
 // longer the holder.
 func (e *Elector) Transfer(ctx context.Context, to Member) bool {
 	e.mu.Lock()
-	leading, term := e.leading, e.term
+	leading, term, standbysVersion := e.leading, e.term, e.standbys.version
 	e.mu.Unlock()
 	if !leading {
 		return true
 	}
 	_ = e.Log.Log("event", "resign", "to", to.Node, "epoch", term.Epoch)
-	return e.writeHolder(ctx, term.Epoch, Holder{Member: to, TermNumber: term.Number + 1})
+	if e.writeHolder(ctx, term.Epoch, standbysVersion, Holder{Member: to, TermNumber: term.Number + 1}) {
+		return true
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.leading // an earlier attempt has taken effect
 }
--- a/core/election/member.go
+++ b/core/election/member.go
@@ -29,10 +29,10 @@
 type Term struct {
 	Epoch           int64 // version of the holder row; the fencing token
 	Number          int   // term number, counted from 1
-	PreviousRunners int   // runners in the last heartbeat of the previous holder
+	PreviousRunners int   // runners that the previous holder last reported
 }
 
-// Key returns the key of a row of a cell; row is HolderRow or HeartbeatRow, or empty for
+// Key returns the key of a row of a cell; row is one of the names below, or empty for
 // the common prefix. Each cell has its own table, so that a watch reports only the rows
 // of that cell.
 func Key(cell, row string) string {
@@ -43,6 +43,7 @@
 const (
 	HolderRow    = "holder"
 	HeartbeatRow = "beat"
+	StandbysRow  = "standbys"
 )
 
 // encode returns v as JSON. It panics if v cannot be encoded.
--- a/core/election/settings.go
+++ b/core/election/settings.go
@@ -11,6 +11,8 @@
 	DefaultStoreTimeout      = 700 * time.Millisecond
 	DefaultWatchWait         = time.Second
 	DefaultProbeInterval     = 100 * time.Millisecond
+	DefaultMaxExtension      = 20 * time.Second
+	DefaultOutsiderTimeout   = 22 * time.Second
 	takeoverCheckInterval    = 25 * time.Millisecond // between checks whether to take over
 	maxClaimJitter           = 60 * time.Millisecond // upper bound of the random delay before a claim
 )
@@ -26,6 +28,8 @@
 	WatchWait         time.Duration // for which the store waits for a change
 	ProbeInterval     time.Duration // between connection probes of the holder's address
 	PollInterval      time.Duration // between polls of the rows while the holder is reachable; zero means no pause
+	MaxExtension      time.Duration // for which promises can extend a lease after the last heartbeat was written
+	OutsiderTimeout   time.Duration // without heartbeat until takeover by an instance that is no standby; greater than MaxExtension
 }
 
 // withDefaults returns s with the defaults in place of zero values.
@@ -42,5 +46,7 @@
 	setDefault(&s.StoreTimeout, DefaultStoreTimeout)
 	setDefault(&s.WatchWait, DefaultWatchWait)
 	setDefault(&s.ProbeInterval, DefaultProbeInterval)
+	setDefault(&s.MaxExtension, DefaultMaxExtension)
+	setDefault(&s.OutsiderTimeout, DefaultOutsiderTimeout)
 	return s
 }
--- /dev/null
+++ b/core/election/standbys.go
@@ -0,0 +1,124 @@
+package election
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"gypsumward/core/table"
+)
+
+// Standbys is the value of the row that names the nodes which may take over from the
+// holder, besides the node of the holder itself. The row counts only if it was written with
+// or after the holder row; otherwise every instance may take over.
+type Standbys struct {
+	Nodes []string `json:"nodes"`
+}
+
+// standbys is what an Elector knows of the row of standbys.
+type standbys struct {
+	nodes   []string
+	version int64
+	pending []string // nodes in writes whose outcome is not known
+}
+
+// apply applies the row, unless it is older than what is known. A value that cannot be
+// decoded names no node.
+func (s *standbys) apply(r table.Row) {
+	if r.Version <= s.version {
+		return
+	}
+	var v Standbys
+	_ = json.Unmarshal(r.Value, &v)
+	s.nodes, s.version, s.pending = v.Nodes, r.Version, nil
+}
+
+// isStandby reports whether this instance may take over as soon as the holder is silent.
+// The caller holds the lock.
+func (e *Elector) isStandby() bool {
+	return e.standbys.version < e.holderVersion || e.holder.Node == e.Self.Node || slices.Contains(e.standbys.nodes, e.Self.Node)
+}
+
+// Standbys returns the nodes that may take over from the holder before OutsiderTimeout,
+// besides the node of the holder. Known is false if every instance may.
+func (e *Elector) Standbys() (nodes []string, known bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.holderVersion == 0 || e.standbys.version < e.holderVersion {
+		return nil, false
+	}
+	return slices.Concat(e.standbys.nodes, e.standbys.pending), true
+}
+
+// SetStandbys replaces the standbys of this instance, which must be the holder. It reports
+// whether they were written. Until that is known the former and the new ones count.
+func (e *Elector) SetStandbys(ctx context.Context, nodes []string) bool {
+	e.mu.Lock()
+	leading, term, version := e.leading, e.term, e.standbys.version
+	if leading {
+		e.standbys.pending = append(e.standbys.pending, nodes...)
+	}
+	e.mu.Unlock()
+	if !leading {
+		return false
+	}
+	limited, cancel := context.WithTimeout(ctx, e.Settings.StoreTimeout)
+	defer cancel()
+	value := encode(Standbys{Nodes: nodes})
+	written, err := e.Store.Write(limited, table.Write{Ops: []table.Op{
+		{Key: e.key(HolderRow), IfVersion: term.Epoch, CheckOnly: true},
+		{Key: e.key(StandbysRow), IfVersion: version, Value: value},
+	}})
+	_ = e.Log.Log("event", "standbys", "nodes", len(nodes), "written", written.Committed, "err", err)
+	switch {
+	case err != nil:
+		return false
+	case written.Committed:
+		e.applyRows([]table.Row{{Key: e.key(StandbysRow), Version: written.Version, Value: value}})
+		return true
+	default:
+		e.applyRows(written.Conflicts)
+		return false
+	}
+}
+
+// HeartbeatAge returns the time since the last heartbeat of this instance that was written
+// had been sent. It is zero if none was in this term.
+func (e *Elector) HeartbeatAge() time.Duration {
+	now := e.Clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.lastWritten.IsZero() {
+		return 0
+	}
+	return max(now.Sub(e.lastWritten), time.Millisecond)
+}
+
+// ExtensionLimit returns the time beyond which promises must not extend the lease of this
+// instance, since an instance that is no standby may then take over. It is zero if no
+// heartbeat was written in this term.
+func (e *Elector) ExtensionLimit() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.lastWritten.IsZero() {
+		return time.Time{}
+	}
+	return e.lastWritten.Add(e.Settings.MaxExtension)
+}
+
+// RunnersReported records the number of runners that the holder can send orders to,
+// according to its reply to a hello message.
+func (e *Elector) RunnersReported(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runnersReported = n
+}
+
+// Released records that the holder of an epoch, possibly this instance, has ended its term
+// by itself. It sends no further heartbeat, and a standby may take over at once.
+func (e *Elector) Released(epoch int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.releasedEpoch = max(e.releasedEpoch, epoch)
+}
--- a/core/election/takeover.go
+++ b/core/election/takeover.go
@@ -19,21 +19,26 @@
 		now := e.Clock.Now()
 		e.mu.Lock()
 		ineligible := !e.loaded || e.leading || e.retired
-		holder, version, heartbeatVersion, lastHeartbeat := e.holder, e.holderVersion, e.heartbeatVersion, e.lastHeartbeat
-		silent := e.holderSilent(now) && now.After(promisedUntil)
+		holder, lastHeartbeat := e.holder, e.lastHeartbeat
+		seen := e.versions()
+		standby := e.isStandby()
+		released := e.releasedEpoch == seen.holder
+		silent := e.holderSilent(now, standby) && now.After(promisedUntil)
 		e.mu.Unlock()
 		if ineligible {
 			continue
 		}
 		reason := ""
 		switch {
-		case version == 0 || holder.Incarnation == "":
+		case seen.holder == 0 || holder.Incarnation == "":
 			reason = "the cell has no holder"
 		case holder.Node == e.Self.Node:
 			reason = "the holder was a previous incarnation of this instance"
+		case released && standby:
+			reason = "the holder has given the cell up"
 		case silent:
 			reason = "no heartbeat"
-		case now.Sub(lastProbe) >= e.Settings.ProbeInterval:
+		case standby && !e.reachesHolder() && now.Sub(lastProbe) >= e.Settings.ProbeInterval:
 			lastProbe = now
 			switch {
 			case !e.ConnectionRefused(ctx, holder.Addr):
@@ -46,55 +51,60 @@
 				reason = "no heartbeat and connections to the holder are refused"
 			}
 		}
-		if reason != "" && e.awaitClaimTurn(ctx, version, heartbeatVersion) {
-			e.claim(ctx, version, heartbeatVersion, holder.TermNumber+1, reason)
+		if reason != "" && e.awaitClaimTurn(ctx, seen) {
+			e.claim(ctx, seen, holder.TermNumber+1, reason)
 		}
 	}
 }
 
-// HeartbeatRecent reports whether a heartbeat of the holder was recently read from the
-// store. If not, possibly no instance is able to take over.
-func (e *Elector) HeartbeatRecent() bool {
-	now := e.Clock.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return !e.watchHealthySince.IsZero() && now.Sub(e.lastHeartbeat) < maxMissedHeartbeats*e.Settings.HeartbeatInterval+e.Settings.PollInterval
+// rowVersions are the versions of the rows that a decision to take over is based on.
+type rowVersions struct{ holder, heartbeat, standbys int64 }
+
+// versions returns the current versions. The caller holds the lock.
+func (e *Elector) versions() rowVersions {
+	return rowVersions{e.holderVersion, e.heartbeatVersion, e.standbys.version}
 }
 
-// maxMissedHeartbeats is the number of consecutive heartbeats that may be missing before
-// the path through the store is considered broken.
-const maxMissedHeartbeats = 3
+// reachesHolder reports whether the holder is known to be reachable.
+func (e *Elector) reachesHolder() bool {
+	return e.HolderReachable != nil && e.HolderReachable()
+}
 
 // holderSilent reports whether no heartbeat has been seen for longer than SilentTimeout,
-// while the store was readable for at least as long.
-func (e *Elector) holderSilent(now time.Time) bool {
-	return !e.watchHealthySince.IsZero() && now.Sub(e.lastHeartbeat) > e.Settings.SilentTimeout && now.Sub(e.watchHealthySince) > e.Settings.SilentTimeout
+// or for longer than OutsiderTimeout if this instance is no standby, while the store was
+// readable for at least SilentTimeout. The caller holds the lock.
+func (e *Elector) holderSilent(now time.Time, standby bool) bool {
+	timeout := e.Settings.OutsiderTimeout
+	if standby {
+		timeout = e.Settings.SilentTimeout
+	}
+	return !e.watchHealthySince.IsZero() && now.Sub(e.lastHeartbeat) > timeout && now.Sub(e.watchHealthySince) > e.Settings.SilentTimeout
 }
 
 // awaitClaimTurn waits so that instances better suited to hold the cell claim it first,
 // longer if the cell never had a holder, since all instances are then starting. It
-// reports whether the holder row and the heartbeat row still have the given versions.
-func (e *Elector) awaitClaimTurn(ctx context.Context, version, heartbeatVersion int64) bool {
+// reports whether the rows still have the given versions.
+func (e *Elector) awaitClaimTurn(ctx context.Context, seen rowVersions) bool {
 	delay := rand.N(maxClaimJitter)
 	if e.ClaimDelay != nil {
 		delay += e.ClaimDelay()
 	}
-	if version == 0 {
+	if seen.holder == 0 {
 		delay *= firstClaimDelayFactor
 	}
 	monotonic.Sleep(ctx, delay)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.holderVersion == version && e.heartbeatVersion == heartbeatVersion
+	return e.versions() == seen
 }
 
 // firstClaimDelayFactor multiplies the delay before the first claim of a cell.
 const firstClaimDelayFactor = 5
 
-// claim writes this instance into the holder row, provided that neither that row nor the
-// heartbeat row has changed since the decision.
-func (e *Elector) claim(ctx context.Context, version, heartbeatVersion int64, termNumber int, reason string) {
-	_ = e.Log.Log("event", "claim", "why", reason, "version", version, "round", termNumber)
-	e.writeHolder(ctx, version, Holder{Member: e.Self, TermNumber: termNumber},
-		table.Op{Key: e.key(HeartbeatRow), IfVersion: heartbeatVersion, CheckOnly: true})
+// claim writes this instance into the holder row, provided that none of the rows has
+// changed since the decision.
+func (e *Elector) claim(ctx context.Context, seen rowVersions, termNumber int, reason string) {
+	_ = e.Log.Log("event", "claim", "why", reason, "version", seen.holder, "round", termNumber)
+	e.writeHolder(ctx, seen.holder, seen.standbys, Holder{Member: e.Self, TermNumber: termNumber},
+		table.Op{Key: e.key(HeartbeatRow), IfVersion: seen.heartbeat, CheckOnly: true})
 }
--- a/core/eventloop/loop.go
+++ b/core/eventloop/loop.go
@@ -158,6 +158,9 @@
 	return int(l.answeringRunners.Load()), int(l.listedRunners.Load())
 }
 
+// Done returns a channel that is closed when the term is over.
+func (l *Loop) Done() <-chan struct{} { return l.done }
+
 // Idle reports whether no write to the store is pending or in flight.
 func (l *Loop) Idle() bool { return l.idle.Load() }
 
--- a/core/promise/granted.go
+++ b/core/promise/granted.go
@@ -28,15 +28,14 @@
 }
 
 // RecordReply records a reply to a hello message, received at now, and gives the promise
-// that goes with it. The promise is longer if heartbeatMissing, that is, if the store
-// shows no recent heartbeat of the holder. Replies of instances that are not the holder
-// are ignored.
-func (g *Granted) RecordReply(now time.Time, reply HelloReply, heartbeatMissing bool) {
+// that goes with it. The promise is longer if the holder reports no recent heartbeat.
+// Replies of instances that are not the holder are ignored.
+func (g *Granted) RecordReply(now time.Time, reply HelloReply) {
 	if !reply.Leading {
 		return
 	}
 	validFor := NormalDuration
-	if heartbeatMissing {
+	if reply.heartbeatMissing() {
 		validFor = ExtendedDuration
 	}
 	g.repliedAt = now
@@ -46,6 +45,17 @@
 	}
 }
 
+// Leave extends the last promise of an instance that shuts down and takes over no more.
+func (g *Granted) Leave() {
+	if g.repliedAt.IsZero() {
+		return
+	}
+	g.lastHello.PromiseDuration = span.Of(ExtendedDuration)
+	if end := g.repliedAt.Add(ExtendedDuration); end.After(g.until) {
+		g.until = end
+	}
+}
+
 // LastReply returns when the holder last replied; zero if it never did.
 func (g *Granted) LastReply() time.Time { return g.repliedAt }
 
--- a/core/promise/hello.go
+++ b/core/promise/hello.go
@@ -25,6 +25,10 @@
 	ReplyTimestamp    int64     `json:"stamp,omitempty"`  // Timestamp of that reply
 	PromiseDuration   span.Span `json:"length,omitempty"` // of the promise, from the arrival of that reply
 	Cells             int       `json:"cells,omitempty"`  // number of cells the sender holds
+
+	// StandbyOnly means that the sender takes over only as a standby of the holder. Instances
+	// of builds without standbys take over at any time.
+	StandbyOnly bool `json:"standby,omitempty"`
 }
 
 // HelloReply is the reply to a Hello.
@@ -32,4 +36,16 @@
 	Leading     bool   `json:"leading"` // the instance is the holder
 	Incarnation string `json:"life"`
 	Timestamp   int64  `json:"stamp"` // when the reply was sent, in nanoseconds on the clock of the sender
+
+	HeartbeatAge span.Span `json:"beat,omitempty"`    // time since the holder sent the last heartbeat that was written; zero if none was
+	Runners      int       `json:"runners,omitempty"` // runners that the holder can send orders to
+}
+
+// maxHeartbeatAge is the age of a heartbeat from which on the holder's path through the
+// store is considered broken.
+const maxHeartbeatAge = 900 * time.Millisecond
+
+// heartbeatMissing reports whether the holder has no recent heartbeat.
+func (r HelloReply) heartbeatMissing() bool {
+	return r.HeartbeatAge == 0 || r.HeartbeatAge.Duration() > maxHeartbeatAge
 }
--- a/core/promise/received.go
+++ b/core/promise/received.go
@@ -25,18 +25,17 @@
 	helloAt time.Time
 	until   time.Time // the peer does not take over before; zero if it has promised nothing
 	cells   int       // number of cells the peer holds
+	listed  bool      // the peer takes over only as a standby
 }
 
 // RecordHello records a hello message received at now. Promises given to another
-// incarnation are ignored, and a new incarnation of the peer has given none.
+// incarnation are ignored. A new incarnation of the peer keeps the promises of previous
+// ones.
 func (r *Received) RecordHello(now time.Time, hello Hello) {
 	if r.peers == nil {
 		r.peers = map[string]entry{}
 	}
-	e := entry{member: hello.Member, helloAt: now, cells: hello.Cells}
-	if previous := r.peers[hello.Node]; previous.member.Incarnation == hello.Incarnation {
-		e.until = previous.until
-	}
+	e := entry{member: hello.Member, helloAt: now, cells: hello.Cells, listed: hello.StandbyOnly, until: r.peers[hello.Node].until}
 	if hello.HolderIncarnation == r.Incarnation && hello.ReplyTimestamp != 0 {
 		validFor := hello.PromiseDuration.Duration()
 		if end := time.Unix(0, hello.ReplyTimestamp).Add(validFor - validFor/driftDivisor); end.After(e.until) {
@@ -46,21 +45,49 @@
 	r.peers[hello.Node] = e
 }
 
-// Until returns the time until which none of the peers with a recent hello message takes
-// over. Ok is false if one of them may take over now or there are no such peers.
-func (r *Received) Until(now time.Time) (until time.Time, ok bool) {
+// Until returns the time until which none of the given standbys takes over, and no peer
+// with a recent hello message that may take over without being one. If the standbys are
+// not known, every peer may. Ok is false if one of them may take over now or there are no
+// such peers.
+func (r *Received) Until(now time.Time, standbys []string, known bool) (until time.Time, ok bool) {
+	count := func(e entry) {
+		if !ok || e.until.Before(until) {
+			until, ok = e.until, true
+		}
+	}
 	for node, e := range r.peers {
 		if now.Sub(e.helloAt) > peerTimeout {
 			delete(r.peers, node)
 			continue
 		}
-		if !ok || e.until.Before(until) {
-			until, ok = e.until, true
+		if !known || !e.listed {
+			count(e)
 		}
 	}
+	for _, node := range standbys {
+		count(r.peers[node])
+	}
 	return until, ok && until.After(now)
 }
 
+// Heard reports whether a hello message of a node was received within the given time.
+func (r *Received) Heard(now time.Time, node string, within time.Duration) bool {
+	e, ok := r.peers[node]
+	return ok && now.Sub(e.helloAt) <= within
+}
+
+// Recent returns the peers from which a hello message was received within the given time,
+// in no particular order.
+func (r *Received) Recent(now time.Time, within time.Duration) []election.Member {
+	var members []election.Member
+	for _, e := range r.peers {
+		if now.Sub(e.helloAt) <= within {
+			members = append(members, e.member)
+		}
+	}
+	return members
+}
+
 // BestSuccessor returns the peer best suited to hold a cell next, of those that sent a
 // hello message within the given time: the peer that holds the fewest cells, among these
 // the one with the most cores, and among these the one that started last. Ok is false if
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -28,6 +28,8 @@
 	methodState   = "cell.state"
 	methodPending = "cell.pending"
 	methodHello   = "cell.hello"
+	methodHolder  = "cell.holder"
+	methodRelease = "cell.release"
 )
 
 // Timeouts and intervals of calls.
@@ -69,6 +71,8 @@
 	loop        *eventloop.Loop  // nil unless this instance is the holder
 	received    promise.Received // promises of the other instances to this one
 	granted     promise.Granted  // promises of this instance to the holder
+	exchanging  bool             // this instance exchanges hello messages with the holder
+	failingFrom time.Time        // since when calls to the holder fail; zero if the last one was answered
 }
 
 // RegisterMethods registers the methods of the cell that other instances call.
@@ -112,6 +116,14 @@
 		return queryReply{Count: v}, toFault(err)
 	})
 	peer.Handle(s, p.method(methodHello), p.handleHello)
+	peer.Handle(s, p.method(methodHolder), func(_ context.Context, n election.Notice) (struct{}, error) {
+		p.Elector.ApplyNotice(n)
+		return struct{}{}, nil
+	})
+	peer.Handle(s, p.method(methodRelease), func(_ context.Context, r release) (struct{}, error) {
+		p.Elector.Released(r.Epoch)
+		return struct{}{}, nil
+	})
 }
 
 // method returns the name of a method of the cell of p.
@@ -164,30 +176,22 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.loop == nil {
-		return nil, &peer.Fault{Ran: api.RanNot, Text: "not the holder"}
+		return nil, &peer.Fault{Ran: api.RanNot, Text: notHolderText}
 	}
 	return p.loop, nil
 }
 
-// Run sends hello messages to the holder until ctx ends, and then waits for the loops of
-// this instance, which end with ctx.
+const notHolderText = "not the holder"
+
+// Run waits until ctx ends, and then for the loops of this instance, which end with ctx.
 func (p *Proxy) Run(ctx context.Context) {
 	p.mu.Lock()
 	p.ctx = ctx
 	p.received.Incarnation = p.Self.Incarnation
 	p.granted.Restart(p.Clock.Now())
 	p.mu.Unlock()
-	ticker := time.NewTicker(helloInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			p.sendHello(ctx)
-		case <-ctx.Done():
-			p.running.Wait()
-			return
-		}
-	}
+	<-ctx.Done()
+	p.running.Wait()
 }
 
 // BeginTerm runs the cell for a new term in a goroutine.
@@ -259,13 +263,48 @@
 	return !lastReply.IsZero() && p.Clock.Now().Sub(lastReply) < 2*helloInterval
 }
 
-// Connected reports whether this instance is the holder or recently received a reply of
-// the holder to a hello message.
+// Connected reports whether this instance is the holder or reaches it: by the replies to
+// hello messages if it sends any, otherwise by the last call.
 func (p *Proxy) Connected() bool {
+	_, version, _ := p.Elector.Holder()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	lastReply := p.granted.LastReply()
-	return p.loop != nil || (!lastReply.IsZero() && p.Clock.Now().Sub(lastReply) < helloTimeout)
+	if p.exchanging && p.loop == nil {
+		lastReply := p.granted.LastReply()
+		return !lastReply.IsZero() && p.Clock.Now().Sub(lastReply) < helloTimeout
+	}
+	return p.loop != nil || (version != 0 && p.failingFrom.IsZero())
+}
+
+// FailingSince returns since when no call to the holder was answered; zero if the last one
+// was.
+func (p *Proxy) FailingSince() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.failingFrom
+}
+
+// recordCall records whether a call reached the holder.
+func (p *Proxy) recordCall(reached bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case reached:
+		p.failingFrom = time.Time{}
+	case p.failingFrom.IsZero():
+		p.failingFrom = p.Clock.Now()
+	}
+}
+
+// Probe calls the holder, for an instance whose last call did not reach it.
+func (p *Proxy) Probe(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	var v queryReply
+	_, err := p.callHolder(limited, methodPending, query{}, &v, func(context.Context, *eventloop.Loop) error { return nil })
+	if errors.Is(limited.Err(), context.DeadlineExceeded) && err != nil {
+		p.recordCall(false)
+	}
 }
 
 // callHolder calls a method of the holder once, or local if this instance is the holder.
@@ -279,6 +318,9 @@
 			return false, ErrNoHolder
 		}
 		err = p.Client.Call(ctx, h.Addr, p.method(method), params, result)
+		if err == nil || ctx.Err() == nil {
+			p.recordCall(err == nil || isBusy(err))
+		}
 		if err != nil {
 			p.Elector.Refresh()
 		}
@@ -286,6 +328,12 @@
 	return err != nil && peer.Ran(err) != api.RanNot, err
 }
 
+// isBusy reports whether err is the reply of a holder that takes no further calls for now.
+func isBusy(err error) bool {
+	var fault *peer.Fault
+	return errors.As(err, &fault) && (fault.Code == peer.CodeBusy || (fault.Code == peer.CodeFailed && fault.Text != notHolderText))
+}
+
 // callHolderRetrying repeats callHolder until it succeeds. It gives up after
 // holderSearchTimeout as long as no holder can have handled the call, and otherwise when
 // ctx ends.
--- a/core/shard/agreement.go
+++ b/core/shard/agreement.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log"
 
 	"gypsumward/core/monotonic"
+	"gypsumward/core/span"
 	"gypsumward/core/table"
 )
 
@@ -18,14 +19,17 @@
 const (
 	callTimeout      = 700 * time.Millisecond
 	retryInterval    = 50 * time.Millisecond
+	maxRetryInterval = 160 * time.Millisecond
+	watchWait        = time.Second
 	stableTime       = 2500 * time.Millisecond // for which the number of runners must not change before a plan is made for it
-	noRunnersTimeout = 6 * time.Second         // without any runner, after which a plan is made nevertheless
+	noRunnersTimeout = 6 * time.Second         // after ProposeAfter without any runner, after which a plan is made nevertheless
 )
 
 // Store reads and writes rows.
 type Store interface {
 	Write(ctx context.Context, w table.Write) (table.Written, error)
 	Read(ctx context.Context, r table.Read) (table.Found, error)
+	Watch(ctx context.Context, w table.Watch) (table.WatchResult, error)
 }
 
 // Agreement reads the plan from the store, or makes one if there is none. Its fields must
@@ -35,41 +39,79 @@
 	RunnerCount func() int // returns the number of runners in the directory
 	Clock       interface{ Now() time.Time }
 	Log         log.Logger
+	// ProposeAfter is how long this instance waits for a plan of another one before it makes
+	// one itself.
+	ProposeAfter time.Duration
+	// OnPropose is called once when this instance begins to make a plan. From then on
+	// RunnerCount must be current. It may be nil.
+	OnPropose func()
 }
 
 // Run returns the plan, waiting until one is stored. A stored plan that is invalid counts
 // as a plan of one cell. Ok is false if ctx ends first.
 func (a *Agreement) Run(ctx context.Context) (p Plan, ok bool) {
-	began := a.Clock.Now()
-	count, stableSince := 0, began
+	proposeAt := a.Clock.Now().Add(a.ProposeAfter)
+	proposing := false
+	count, stableSince := 0, time.Time{}
+	retry := retryInterval
 	for ctx.Err() == nil {
-		row, err := a.read(ctx)
+		row, version, err := a.read(ctx)
 		if err == nil && row.Version != 0 {
 			return a.decode(row), true
 		}
 		now := a.Clock.Now()
-		if n := a.RunnerCount(); n != count {
+		if !proposing && !now.Before(proposeAt) {
+			proposing, stableSince = true, now
+			if a.OnPropose != nil {
+				a.OnPropose()
+			}
+		}
+		if n := a.RunnerCount(); proposing && n != count {
 			count, stableSince = n, now
 		}
+		if err != nil {
+			monotonic.Sleep(ctx, retry)
+			retry = min(2*retry, maxRetryInterval)
+			continue
+		}
+		retry = retryInterval
+		if !proposing {
+			a.await(ctx, version, min(watchWait, proposeAt.Sub(now)))
+			continue
+		}
 		stable := count > 0 && now.Sub(stableSince) >= stableTime
-		if err == nil && (stable || now.Sub(began) >= noRunnersTimeout) {
+		if stable || now.Sub(proposeAt) >= noRunnersTimeout {
 			a.propose(ctx, NewPlan(count))
 			continue
 		}
-		monotonic.Sleep(ctx, retryInterval)
+		a.await(ctx, version, pollInterval)
 	}
 	return Plan{}, false
 }
 
-// read returns the row of the plan. Its version is zero if there is none.
-func (a *Agreement) read(ctx context.Context) (table.Row, error) {
+// pollInterval is the time between checks of the runners while this instance makes a plan.
+const pollInterval = 250 * time.Millisecond
+
+// await waits until the plan's table changes after a version, for at most wait.
+func (a *Agreement) await(ctx context.Context, version int64, wait time.Duration) {
+	limited, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	changes, err := a.Store.Watch(limited, table.Watch{Prefix: PlanKey, After: version, Wait: span.Of(wait)})
+	if err != nil || changes.HistoryLost {
+		monotonic.Sleep(ctx, wait)
+	}
+}
+
+// read returns the row of the plan, whose version is zero if there is none, and the version
+// of the store.
+func (a *Agreement) read(ctx context.Context) (table.Row, int64, error) {
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	found, err := a.Store.Read(limited, table.Read{Keys: []string{PlanKey}})
 	if err != nil || len(found.Rows) == 0 {
-		return table.Row{}, err
+		return table.Row{}, found.Version, err
 	}
-	return found.Rows[0], nil
+	return found.Rows[0], found.Version, nil
 }
 
 // propose inserts a plan, unless another instance has inserted one first.
--- a/core/shard/shard_test.go
+++ b/core/shard/shard_test.go
@@ -65,6 +65,24 @@
 	return table.Found{Rows: []table.Row{s.row}}, nil
 }
 
+func (s *store) Watch(ctx context.Context, w table.Watch) (table.WatchResult, error) {
+	limit := time.After(w.Wait.Duration())
+	for {
+		found, err := s.Read(ctx, table.Read{})
+		switch {
+		case err != nil:
+			return table.WatchResult{}, err
+		case found.Rows[0].Version > w.After:
+			return table.WatchResult{Rows: found.Rows, Version: found.Rows[0].Version}, nil
+		}
+		select {
+		case <-limit:
+			return table.WatchResult{Version: w.After}, nil
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
 func (s *store) Write(_ context.Context, w table.Write) (table.Written, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -122,6 +140,27 @@
 	}
 }
 
+// TestAgreementOfOthers lets another instance insert its plan before this one would make
+// one. It must not begin to read the runners.
+func TestAgreementOfOthers(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{}
+		a := &shard.Agreement{
+			Store: s, Clock: clock{}, Log: log.NewNopLogger(), RunnerCount: func() int { return 350 },
+			ProposeAfter: time.Second, OnPropose: func() { t.Error("it proposes") },
+		}
+		time.AfterFunc(900*time.Millisecond, func() {
+			s.set(func() { s.row = table.Row{Key: shard.PlanKey, Version: 3, Value: json.RawMessage(`{"cells":2}`)} })
+		})
+		began := time.Now()
+		p, ok := a.Run(context.Background())
+		require.True(t, ok)
+		require.Equal(t, 2, p.Cells)
+		require.Less(t, time.Since(began), 910*time.Millisecond)
+	})
+}
+
 // TestAgreementOnce lets another instance insert its plan while this one still waits for
 // its number of runners to settle. The stored plan must prevail.
 func TestAgreementOnce(t *testing.T) {
--- /dev/null
+++ b/core/standby/choose.go
@@ -0,0 +1,60 @@
+package standby
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math"
+	"slices"
+
+	"gypsumward/core/election"
+)
+
+// Count is the number of standbys of a cell.
+const Count = 4
+
+// Choose returns up to Count nodes for a cell, in order of preference, from members other
+// than the holder for which usable returns true. Each further node comes from a zone with
+// the fewest standbys so far, where the zone of the holder counts one more, so that the
+// loss of a zone leaves one. Within a zone the order is a hash of cell and node weighted by
+// the square of the cores, so that cells spread over the instances that can hold them.
+func Choose(cell string, holder election.Member, members []election.Member, usable func(node string) bool) []string {
+	type candidate struct {
+		election.Member
+		rank float64
+	}
+	var candidates []candidate
+	for _, m := range members {
+		if m.Node != holder.Node && usable(m.Node) {
+			candidates = append(candidates, candidate{m, rank(cell, m)})
+		}
+	}
+	perZone := map[string]int{holder.Zone: 1}
+	var chosen []string
+	for len(chosen) < Count && len(candidates) > 0 {
+		best := slices.MinFunc(candidates, func(a, b candidate) int {
+			return cmp.Or(cmp.Compare(perZone[a.Zone], perZone[b.Zone]), cmp.Compare(a.rank, b.rank), cmp.Compare(a.Node, b.Node))
+		})
+		perZone[best.Zone]++
+		chosen = append(chosen, best.Node)
+		candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.Node == best.Node })
+	}
+	return chosen
+}
+
+// rank returns a value that is lower for better suited members: exponentially distributed
+// over nodes, with a rate that is the square of the cores.
+func rank(cell string, m election.Member) float64 {
+	weight := max(m.Cores*m.Cores, 1e-6)
+	return -math.Log(Uniform(cell, m.Node)) / weight
+}
+
+// Uniform returns a number above 0 and at most 1 that depends on cell and node only.
+func Uniform(cell, node string) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(cell + "/" + node))
+	x := h.Sum64()
+	x ^= x >> 33 // the low bytes of FNV-1a hardly affect its high bits
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return (float64(x>>11) + 1) / (1 << 53)
+}
--- a/gypsumward/hosted/directory.go
+++ b/gypsumward/hosted/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/go-kit/log"
 
@@ -18,6 +19,7 @@
 
 	mu      sync.Mutex
 	runners map[string]cell.RunnerInfo // by row key
+	readAt  time.Time                  // when the rows were last read
 }
 
 // apply applies rows of runners. A row of version zero removes its runner, and so does
@@ -43,6 +45,7 @@
 		}
 		d.runners[r.Key] = entry
 	}
+	d.readAt = time.Now()
 	d.mu.Unlock()
 	d.changed()
 }
@@ -62,13 +65,18 @@
 	return len(d.runners)
 }
 
-// snapshot returns the runners in no particular order.
-func (d *directory) snapshot() []cell.RunnerInfo {
+// maxDirectoryAge is the age from which on the runners are not used before they have been
+// read again.
+const maxDirectoryAge = 5 * time.Second
+
+// snapshot returns the runners in no particular order. Ok is false if they were not read
+// recently.
+func (d *directory) snapshot() (list []cell.RunnerInfo, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	list := make([]cell.RunnerInfo, 0, len(d.runners))
+	list = make([]cell.RunnerInfo, 0, len(d.runners))
 	for _, entry := range d.runners {
 		list = append(list, entry)
 	}
-	return list
+	return list, time.Since(d.readAt) < maxDirectoryAge
 }
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -24,7 +24,9 @@
 	"gypsumward/core/logring"
 	"gypsumward/core/mirror"
 	"gypsumward/core/monotonic"
+	"gypsumward/core/notice"
 	"gypsumward/core/peer"
+	"gypsumward/core/roster"
 	"gypsumward/core/route"
 	"gypsumward/core/shard"
 	"gypsumward/core/sockopt"
@@ -48,13 +50,19 @@
 	peerHeartbeat     = 300 * time.Millisecond
 	probeTimeout      = 250 * time.Millisecond // of a connection attempt that checks whether an instance listens
 	metricsPort       = "9464"
-	configPollWait    = 1500 * time.Millisecond // time that the store waits for a change of the configuration
-	refreshHolding    = 400 * time.Millisecond  // between two reads of the runners while this instance holds a cell
-	refreshIdle       = 5 * time.Second         // while it holds none
-	refreshStarting   = 300 * time.Millisecond  // before the plan is known
-	runnersPerRefresh = 150                     // number of runners by which the interval grows by refreshHolding
+	noticeWait        = 4 * time.Second        // time that the store waits for a change of the notices
+	refreshHolding    = 400 * time.Millisecond // between two reads of the runners while this instance holds a cell
+	refreshIdle       = time.Hour              // while it holds none; a new holder requests a read
+	refreshStarting   = 300 * time.Millisecond // while this instance makes the plan
+	runnersPerRefresh = 150                    // number of runners by which the interval grows by refreshHolding
+	membersHolding    = 5 * time.Second        // between two reads of the members while this instance holds a cell
+	membersStandby    = 15 * time.Second       // while it is a standby
 )
 
+// configWaitShare is the share of the time within which a configuration must be in force
+// that the store waits for a change. The rest is for a watch whose connection is lost.
+const configWaitShare = 0.75
+
 // Host is one entry instance on the users' platform.
 type Host struct {
 	settings     *reload.Follower
@@ -71,6 +79,11 @@
 	runnerClient *platform.RunnerClient
 	adviser      *platform.Adviser
 	client       *peer.Client
+	board        *notice.Board
+	roster       *roster.Roster
+	readMembers  chan struct{} // requests an immediate read of the members
+	wake         chan struct{} // makes supervise look at the cells
+	proposing    atomic.Bool   // this instance makes the plan
 	draining     atomic.Bool
 }
 
@@ -93,6 +106,9 @@
 		Clock: &hlc.Clock{}, MaxCalls: maxPeerCalls, PingInterval: peerHeartbeat, DialBackoff: 20 * time.Millisecond, Dial: dial,
 	}
 	h.runners = directory{log: h.log, changed: h.postRunners, refresh: make(chan struct{}, 1)}
+	h.wake, h.readMembers = make(chan struct{}, 1), make(chan struct{}, 1)
+	h.board = &notice.Board{Store: h.store, Wait: noticeWait, Log: h.log, OnNotice: h.applyNotice, OnError: h.readFailed("notices")}
+	h.roster = &roster.Roster{Store: h.store, Self: h.self, Log: h.log, Interval: h.membersInterval, Refresh: h.readMembers}
 	return h
 }
 
@@ -190,7 +206,10 @@
 // joinCells agrees on the plan with the other instances and then takes part in all
 // cells.
 func (h *Host) joinCells(ctx context.Context, wg *sync.WaitGroup) {
-	agreement := &shard.Agreement{Store: h.store, RunnerCount: h.runners.count, Clock: h.clock, Log: h.log}
+	agreement := &shard.Agreement{
+		Store: h.store, RunnerCount: h.runners.count, Clock: h.clock, Log: h.log,
+		ProposeAfter: h.startDelay("plan"), OnPropose: h.beginProposing,
+	}
 	plan, ok := agreement.Run(ctx)
 	if !ok {
 		return
@@ -199,7 +218,7 @@
 	peers := &peer.Server{Addr: h.self.Addr, Clock: h.client.Clock, MaxCalls: maxPeerCalls, DrainTimeout: 100 * time.Millisecond}
 	var participants []*participant
 	for i := range plan.Cells {
-		p := h.newParticipant(i, plan.Cells)
+		p := h.newParticipant(i)
 		p.proxy.RegisterMethods(peers)
 		participants = append(participants, p)
 	}
@@ -209,17 +228,24 @@
 			_ = h.log.Log("event", "peers", "err", err)
 		}
 	})
-	h.cells.Store(&participants)
 	for _, p := range participants {
 		wg.Go(func() { p.proxy.Run(ctx) })
-		wg.Go(func() { p.elector.Run(ctx) })
 	}
+	h.cells.Store(&participants)
+	wg.Go(func() { h.board.Run(ctx) })
+	h.supervise(ctx)
+}
+
+// beginProposing starts to read the runners for the plan.
+func (h *Host) beginProposing() {
+	h.proposing.Store(true)
+	h.runners.requestRefresh()
 }
 
 // followRows starts reading the rows of the operator and of the runners.
 func (h *Host) followRows(ctx context.Context, wg *sync.WaitGroup) {
 	configs := &mirror.Mirror{
-		Store: h.store, Prefix: platform.ConfigPrefix, Wait: configPollWait,
+		Store: h.store, Prefix: platform.ConfigPrefix, Wait: time.Duration(configWaitShare * float64(h.settings.Current().ConfigApply)),
 		OnRows: h.applyConfig, OnError: h.readFailed("config"),
 	}
 	runners := &mirror.Poller{
@@ -227,14 +253,28 @@
 		Interval: h.refreshInterval, OnRows: h.runners.apply, OnError: h.readFailed("runners"),
 	}
 	wg.Go(func() { configs.Run(ctx) })
-	wg.Go(func() { runners.Run(ctx) })
+	wg.Go(func() {
+		select { // nothing needs the runners before that
+		case <-h.runners.refresh:
+			runners.Run(ctx)
+		case <-ctx.Done():
+		}
+	})
+	wg.Go(func() { h.roster.Register(ctx) })
+	wg.Go(func() {
+		select {
+		case <-h.readMembers:
+			h.roster.Run(ctx)
+		case <-ctx.Done():
+		}
+	})
 }
 
 // refreshInterval returns the time between two reads of the rows of runners. It grows
 // with their number.
 func (h *Host) refreshInterval() time.Duration {
 	switch {
-	case h.participants() == nil:
+	case h.participants() == nil && h.proposing.Load():
 		return refreshStarting
 	case h.cellsHeld() == 0:
 		return refreshIdle
@@ -242,6 +282,14 @@
 	return refreshHolding * time.Duration(max(h.runners.count()/runnersPerRefresh, 1))
 }
 
+// membersInterval returns the time between two reads of the members.
+func (h *Host) membersInterval() time.Duration {
+	if h.cellsHeld() > 0 {
+		return membersHolding
+	}
+	return membersStandby
+}
+
 // readFailed returns a function that counts and logs a failed read of rows.
 func (h *Host) readFailed(kind string) func(error) {
 	return func(err error) {
@@ -286,8 +334,9 @@
 	var handovers sync.WaitGroup
 	for _, p := range h.participants() {
 		p.elector.StopClaiming()
-		handovers.Go(p.handOver)
+		handovers.Go(p.leave)
 	}
+	handovers.Go(func() { h.roster.Deregister(context.Background()) })
 	handovers.Wait()
 	time.Sleep(drainTime - time.Since(start))
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(h.settings.Current().ShutdownGrace-killMargin))
--- a/gypsumward/hosted/participant.go
+++ b/gypsumward/hosted/participant.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -21,6 +23,19 @@
 	log     log.Logger
 	elector *election.Elector
 	proxy   *proxy.Proxy
+	host    *Host
+	joined  time.Time     // when the plan became known
+	delay   time.Duration // after joined until this instance competes for a cell without holder
+
+	stop      context.CancelFunc // ends the competition; nil while this instance takes no part in it
+	running   sync.WaitGroup
+	lookupAt  time.Time   // earliest time of the next look at the rows of a cell whose holder does not answer
+	probing   atomic.Bool // a probe of the holder is in flight
+	arranging atomic.Bool // arrangeStandbys is running
+
+	mu           sync.Mutex
+	standbysFrom time.Time            // when the standbys were last chosen
+	absent       map[string]time.Time // nodes that sent no hello messages as standbys; until when they are passed over
 }
 
 // Delays before an instance claims a cell, so that instances with more cores and fewer
@@ -31,19 +46,16 @@
 	maxDelay        = 600 * time.Millisecond
 )
 
-// Poll interval of a cell's holder while it responds. It grows with the number of cells,
-// since every instance polls the holders of all cells.
-const (
-	pollIntervalPerCell = 100 * time.Millisecond // for each other cell
-	maxPollInterval     = 500 * time.Millisecond
-)
+// pollInterval is the time between reads of the rows of a cell by a standby that the
+// holder answers. A standby that it does not answer reads them at once.
+const pollInterval = 10 * time.Second
 
-// newParticipant returns the participant for the cell with the given number out of
-// cells.
-func (h *Host) newParticipant(number, cells int) *participant {
+// newParticipant returns the participant for the cell with the given number.
+func (h *Host) newParticipant(number int) *participant {
 	p := &participant{number: number, name: shard.CellName(number)}
 	p.log = log.With(h.log, "cell", p.name)
-	p.elector = election.New(p.name, election.Settings{PollInterval: min(time.Duration(cells-1)*pollIntervalPerCell, maxPollInterval)})
+	p.host, p.joined, p.delay, p.absent = h, h.clock.Now(), h.startDelay(p.name), map[string]time.Time{}
+	p.elector = election.New(p.name, election.Settings{PollInterval: pollInterval})
 	p.proxy = &proxy.Proxy{
 		Cell: p.name, Self: h.self, Elector: p.elector, Client: h.client, Store: h.store, Clock: h.clock,
 		Log: p.log, HeldCells: h.cellsHeld, NewLoop: func(t election.Term) *eventloop.Loop { return h.newLoop(p, t) },
@@ -51,6 +63,7 @@
 	p.elector.Self, p.elector.Store, p.elector.Clock = h.self, h.store, h.clock
 	p.elector.Leader, p.elector.Log, p.elector.ConnectionRefused = p.proxy, p.log, refusesConn
 	p.elector.PromisedUntil, p.elector.ClaimDelay, p.elector.HolderReachable = p.proxy.PromisedUntil, h.claimDelay, p.proxy.HolderReachable
+	p.elector.ChooseStandbys = p.chooseStandbys
 	return p
 }
 
@@ -58,27 +71,34 @@
 func (h *Host) newLoop(p *participant, t election.Term) *eventloop.Loop {
 	l := eventloop.New(t, p.name, h.bounds(), h.runnerClient, h.store, h.clock, p.log, h.metrics)
 	l.SetAdviser(h.adviser)
-	l.Post(cell.DirectoryUpdate{Entries: h.runnersOf(p)})
+	h.postRunnersTo(p, l)
 	h.runners.requestRefresh()
+	p.setStandbysFrom(h.clock.Now())
+	go p.publish()
 	return l
 }
 
-// runnersOf returns the runners that the plan assigns to the cell of p.
-func (h *Host) runnersOf(p *participant) []cell.RunnerInfo {
+// postRunnersTo posts the runners that the plan assigns to the cell of p to l, if they were
+// read recently.
+func (h *Host) postRunnersTo(p *participant, l *eventloop.Loop) {
+	runners, ok := h.runners.snapshot()
+	if !ok {
+		return
+	}
 	plan := h.plan.Load()
 	var list []cell.RunnerInfo
-	for _, entry := range h.runners.snapshot() {
+	for _, entry := range runners {
 		if plan.CellOf(entry.ID) == p.number {
 			list = append(list, entry)
 		}
 	}
-	return list
+	l.Post(cell.DirectoryUpdate{Entries: list})
 }
 
 // postRunners posts the current runners to the event loops of all cells that this instance
 // holds.
 func (h *Host) postRunners() {
-	h.eachLoop(func(p *participant, l *eventloop.Loop) { l.Post(cell.DirectoryUpdate{Entries: h.runnersOf(p)}) })
+	h.eachLoop(h.postRunnersTo)
 }
 
 // participants returns the participants of all cells, or nil before the plan is known.
@@ -124,25 +144,52 @@
 	return reachable > 0 && 2*reachable >= len(participants)
 }
 
-// handOver drains the cell until no write or start is in flight and hands it over to
-// another instance. It gives up after handoverTimeout or if there is no successor.
-func (p *participant) handOver() {
-	l := p.proxy.CurrentLoop()
-	if l == nil {
+// leave gives up the part of this instance in the cell, which stops claiming it: a holder
+// hands the cell over, a standby promises not to take over.
+func (p *participant) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+	defer cancel()
+	if l := p.proxy.CurrentLoop(); l != nil {
+		p.handOver(ctx, l)
 		return
 	}
+	p.proxy.Leave(ctx)
+}
+
+// handOver drains the cell until no write or start is in flight and hands it over to
+// another instance. If that cannot be written before ctx ends, it ends the term, and any
+// standby may take over.
+func (p *participant) handOver(ctx context.Context, l *eventloop.Loop) {
 	successor, ok := p.proxy.Successor()
 	if !ok {
 		_ = p.log.Log("event", "nosuccessor")
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
-	defer cancel()
 	l.Drain()
 	for !l.Idle() && ctx.Err() == nil {
 		time.Sleep(3 * time.Millisecond)
 	}
-	for ctx.Err() == nil && !p.elector.Transfer(ctx, successor) {
+	for ctx.Err() == nil {
+		if p.elector.Transfer(ctx, successor) {
+			p.announce()
+			return
+		}
 		time.Sleep(10 * time.Millisecond)
 	}
+	l.Depose("the handover could not be written")
+	<-l.Done()
+	p.elector.Released(l.Term.Epoch)
+	limited, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+	defer cancel()
+	p.proxy.AnnounceRelease(limited, l.Term.Epoch)
+}
+
+// announce notifies the holder that this instance has named, and all others.
+func (p *participant) announce() {
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+	defer cancel()
+	n := p.elector.Notice()
+	err := p.proxy.AnnounceHolder(ctx, n)
+	_ = p.log.Log("event", "handed", "to", n.Holder.Node, "epoch", n.Epoch, "err", err)
+	p.host.board.Publish(ctx, p.name, n)
 }
--- /dev/null
+++ b/gypsumward/hosted/standby.go
@@ -0,0 +1,221 @@
+package hosted
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"gypsumward/core/election"
+	"gypsumward/core/standby"
+)
+
+// Intervals and timeouts of the parts that an instance takes in cells.
+const (
+	superviseInterval = 250 * time.Millisecond
+	noStandbysTimeout = 2 * time.Second        // age of a holder without standbys from which on every instance competes
+	outsiderTimeout   = 6 * time.Second        // without an answer of the holder until an instance that is no standby competes
+	outsiderSpread    = 4 * time.Second        // over which such instances begin
+	lookupAfter       = 300 * time.Millisecond // without an answer of the holder until its rows are read
+	lookupInterval    = time.Second
+	standbyTimeout    = 2500 * time.Millisecond // without a hello message until a standby is replaced
+	absence           = 15 * time.Second        // for which a replaced standby is passed over
+)
+
+// Delay until an instance acts when all instances start together. Those with more cores act
+// first, so that they hold the cells, and few act before the first has finished.
+const (
+	startDelayPerCore = 120 * time.Millisecond // for one core; divided by the number of cores
+	startDelaySpread  = 400 * time.Millisecond
+)
+
+// startDelay returns how long this instance waits before it acts for name, a cell or the
+// plan, when all instances start together.
+func (h *Host) startDelay(name string) time.Duration {
+	return time.Duration(float64(startDelayPerCore)/h.self.Cores + float64(startDelaySpread)*standby.Uniform(name, h.self.Node))
+}
+
+// applyNotice passes a notice to the participant of its cell.
+func (h *Host) applyNotice(cell string, n election.Notice) {
+	for _, p := range h.participants() {
+		if p.name == cell {
+			p.elector.ApplyNotice(n)
+		}
+	}
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// supervise makes this instance compete for the cells that concern it, until ctx ends.
+func (h *Host) supervise(ctx context.Context) {
+	ticker := time.NewTicker(superviseInterval)
+	defer ticker.Stop()
+	for {
+		for _, p := range h.participants() {
+			p.update(ctx, h.clock.Now())
+		}
+		select {
+		case <-ticker.C:
+		case <-h.wake:
+		case <-ctx.Done():
+			for _, p := range h.participants() {
+				p.running.Wait()
+			}
+			return
+		}
+	}
+}
+
+// update starts or ends the competition of this instance for the cell, and looks after the
+// standbys of the cell if this instance holds it.
+func (p *participant) update(ctx context.Context, now time.Time) {
+	holds := p.proxy.CurrentLoop() != nil
+	competes := holds || p.concernsSelf(now)
+	switch {
+	case competes && p.stop == nil:
+		p.compete(ctx)
+	case !competes && p.stop != nil:
+		p.stop()
+		p.running.Wait()
+		p.stop = nil
+		_ = p.log.Log("event", "outside")
+	}
+	if holds && !p.host.draining.Load() && p.arranging.CompareAndSwap(false, true) {
+		go func() {
+			defer p.arranging.Store(false)
+			p.arrangeStandbys(ctx, now)
+		}()
+	}
+	if !competes {
+		p.followUnreachable(ctx, now)
+	}
+}
+
+// compete starts the elector and the exchange of hello messages.
+func (p *participant) compete(ctx context.Context) {
+	_ = p.log.Log("event", "competes")
+	ctx, p.stop = context.WithCancel(ctx)
+	p.running.Go(func() { p.elector.Run(ctx) })
+	p.running.Go(func() { p.proxy.ExchangeHellos(ctx) })
+	select {
+	case p.host.readMembers <- struct{}{}:
+	default:
+	}
+}
+
+// concernsSelf reports whether this instance competes for the cell: as its holder or a
+// standby, if there is no holder or it has no standbys, or if the holder and the standbys
+// have been gone for long.
+func (p *participant) concernsSelf(now time.Time) bool {
+	if !p.host.board.Loaded() {
+		return false
+	}
+	holder, version, self := p.elector.Holder()
+	if self || holder.Node == p.host.self.Node {
+		return true
+	}
+	n, ok := p.host.board.Get(p.name)
+	if !ok && version == 0 {
+		return now.Sub(p.joined) >= p.delay
+	}
+	if n.Epoch == version && n.Names(p.host.self.Node) {
+		return true
+	}
+	if standbys, known := p.elector.Standbys(); known && slices.Contains(standbys, p.host.self.Node) {
+		return true
+	}
+	failing := p.proxy.FailingSince()
+	spread := time.Duration(float64(outsiderSpread) * standby.Uniform(p.name, p.host.self.Node))
+	if n.Epoch == version && len(n.Standbys) == 0 {
+		return !failing.IsZero() && now.Sub(failing) > noStandbysTimeout+spread/4
+	}
+	return !failing.IsZero() && now.Sub(failing) > outsiderTimeout+spread
+}
+
+// followUnreachable calls a holder again that did not answer the last call, and reads the
+// rows of the cell, since a notice may be missing.
+func (p *participant) followUnreachable(ctx context.Context, now time.Time) {
+	failing := p.proxy.FailingSince()
+	if failing.IsZero() || !p.probing.CompareAndSwap(false, true) {
+		return
+	}
+	lookup := now.Sub(failing) > lookupAfter && !now.Before(p.lookupAt)
+	if lookup {
+		p.lookupAt = now.Add(lookupInterval)
+	}
+	go func() {
+		defer p.probing.Store(false)
+		if lookup {
+			if err := p.elector.Lookup(ctx); err != nil {
+				p.host.metrics.Count("missed_lookup", 1)
+			}
+		}
+		p.proxy.Probe(ctx)
+	}()
+}
+
+// chooseStandbys returns the standbys for the cell under a holder.
+func (p *participant) chooseStandbys(holder election.Member) []string {
+	now := p.host.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return standby.Choose(p.name, holder, p.host.roster.Members(), func(node string) bool { return !now.Before(p.absent[node]) })
+}
+
+// setStandbysFrom records when the standbys were chosen.
+func (p *participant) setStandbysFrom(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.standbysFrom = now
+}
+
+// replaceableStandbys returns the standbys that have had time for a hello message and sent
+// none, which are passed over from now on. Ok is false if that time has not passed.
+func (p *participant) replaceableStandbys(now time.Time) (silent []string, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.standbysFrom) < standbyTimeout {
+		return nil, false
+	}
+	silent = p.proxy.SilentStandbys(standbyTimeout)
+	for _, node := range silent {
+		p.absent[node] = now.Add(absence)
+	}
+	return silent, true
+}
+
+// arrangeStandbys replaces standbys of this instance that send no hello messages, and adds
+// missing ones. Changed standbys are published.
+func (p *participant) arrangeStandbys(ctx context.Context, now time.Time) {
+	current, known := p.elector.Standbys()
+	silent, due := p.replaceableStandbys(now)
+	if known && !due {
+		return
+	}
+	chosen := p.chooseStandbys(p.host.self)
+	complete := len(chosen) <= len(current) && len(silent) == 0
+	if len(chosen) == 0 || (known && complete) || sameNodes(chosen, current) {
+		return
+	}
+	if p.elector.SetStandbys(ctx, chosen) {
+		p.setStandbysFrom(now)
+		p.publish()
+	}
+}
+
+func sameNodes(a, b []string) bool {
+	return slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
+}
+
+// publishTimeout bounds the publication of a notice.
+const publishTimeout = 20 * time.Second
+
+// publish publishes the notice of this instance as the holder.
+func (p *participant) publish() {
+	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
+	defer cancel()
+	if _, _, self := p.elector.Holder(); self {
+		p.host.board.Publish(ctx, p.name, p.elector.Notice())
+	}
+}
