shard, hosted: the holder of a cell reads the rows of its own runners only

Change: where the ids of runners are random, the plan gives each cell a range of ids; otherwise a hash decides as before. Only holders read rows. A cell has fewer runners if the link of the instance that makes the plan is narrow. Tried first: a watch of the rows; it brings each runner's row each 1.5 s, 733 rows a second at 1,100 runners, so it was dropped.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -39,6 +39,8 @@
 	PollInterval func() time.Duration
 	// Refresh ends such a wait early. It may be nil.
 	Refresh <-chan struct{}
+
+	after, through string // bounds of the keys, see Poller
 }
 
 // Run reads the rows and then watches them until ctx ends.
@@ -109,10 +111,10 @@
 func (m *Mirror) readAll(ctx context.Context) (int64, error) {
 	var rows []table.Row
 	version := unread
-	lastKey := ""
+	lastKey := m.after
 	for {
 		limited, cancel := context.WithTimeout(ctx, m.Timeout)
-		found, err := m.Store.Scan(limited, table.Scan{Prefix: m.Prefix, After: lastKey, Limit: table.MaxScanRows})
+		found, err := m.Store.Scan(limited, table.Scan{Prefix: m.Prefix, After: lastKey, Through: m.through, Limit: table.MaxScanRows})
 		cancel()
 		if err != nil {
 			return unread, err
--- a/core/mirror/poller.go
+++ b/core/mirror/poller.go
@@ -12,6 +12,8 @@
 type Poller struct {
 	Store   Store
 	Prefix  string
+	After   string        // keys up to this one are left out; empty for none
+	Through string        // keys after this one are left out; empty for none
 	Timeout time.Duration // of a call; zero means DefaultTimeout
 
 	// Interval returns the poll interval. It is called after each poll.
@@ -26,7 +28,7 @@
 
 // Run polls until ctx ends.
 func (p *Poller) Run(ctx context.Context) {
-	m := Mirror{Store: p.Store, Prefix: p.Prefix, Timeout: p.Timeout, OnRows: p.OnRows}
+	m := Mirror{Store: p.Store, Prefix: p.Prefix, Timeout: p.Timeout, OnRows: p.OnRows, after: p.After, through: p.Through}
 	if m.Timeout == 0 {
 		m.Timeout = DefaultTimeout
 	}
--- a/core/shard/agreement.go
+++ b/core/shard/agreement.go
@@ -35,15 +35,17 @@
 // Agreement reads the plan from the store, or makes one if there is none. Its fields must
 // be set before Run.
 type Agreement struct {
-	Store       Store
-	RunnerCount func() int // returns the number of runners in the directory
-	Clock       interface{ Now() time.Time }
-	Log         log.Logger
+	Store   Store
+	Runners func() []string // returns the ids of the runners in the directory
+	Clock   interface{ Now() time.Time }
+	Log     log.Logger
+	// PerCell is the number of runners in a cell of a new plan; zero means RunnersPerCell.
+	PerCell int
 	// ProposeAfter is how long this instance waits for a plan of another one before it makes
 	// one itself.
 	ProposeAfter time.Duration
 	// OnPropose is called once when this instance begins to make a plan. From then on
-	// RunnerCount must be current. It may be nil.
+	// Runners must be current. It may be nil.
 	OnPropose func()
 }
 
@@ -66,8 +68,9 @@
 				a.OnPropose()
 			}
 		}
-		if n := a.RunnerCount(); proposing && n != count {
-			count, stableSince = n, now
+		runners := a.Runners()
+		if proposing && len(runners) != count {
+			count, stableSince = len(runners), now
 		}
 		if err != nil {
 			monotonic.Sleep(ctx, retry)
@@ -81,7 +84,7 @@
 		}
 		stable := count > 0 && now.Sub(stableSince) >= stableTime
 		if stable || now.Sub(proposeAt) >= noRunnersTimeout {
-			a.propose(ctx, NewPlan(count))
+			a.propose(ctx, NewPlan(runners, a.PerCell))
 			continue
 		}
 		a.await(ctx, version, pollInterval)
@@ -123,14 +126,14 @@
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	written, err := a.Store.Write(limited, table.Write{Ops: []table.Op{{Key: PlanKey, Value: value}}})
-	_ = a.Log.Log("event", "plan", "cells", p.Cells, "inserted", written.Committed, "err", err)
+	_ = a.Log.Log("event", "plan", "cells", p.Cells, "ranges", len(p.Bounds) > 0, "inserted", written.Committed, "err", err)
 }
 
 // decode returns the plan in a row, or a plan of one cell if the row is invalid.
 func (a *Agreement) decode(row table.Row) Plan {
 	var p Plan
 	err := json.Unmarshal(row.Value, &p)
-	if err != nil || p.Cells < 1 || p.Cells > MaxCells {
+	if err != nil || !p.valid() {
 		_ = a.Log.Log("event", "badrow", "key", PlanKey, "err", err)
 		return Plan{Cells: 1}
 	}
--- a/core/shard/shard_test.go
+++ b/core/shard/shard_test.go
@@ -22,7 +22,7 @@
 	for _, test := range []struct{ runners, cells int }{
 		{0, 1}, {1, 1}, {48, 1}, {64, 1}, {65, 2}, {350, 6}, {1100, 18}, {100000, shard.MaxCells},
 	} {
-		require.Equal(t, test.cells, shard.NewPlan(test.runners).Cells, "%d runners", test.runners)
+		require.Equal(t, test.cells, shard.NewPlan(ids(test.runners), 0).Cells, "%d runners", test.runners)
 	}
 }
 
@@ -41,6 +41,52 @@
 	}
 }
 
+// ids returns n different ids that look random.
+func ids(n int) []string {
+	list := make([]string, n)
+	for i := range list {
+		list[i] = fmt.Sprintf("i-%08x", uint32(i)*2654435761)
+	}
+	return list
+}
+
+// TestRunnerRanges checks that every runner belongs to the cell whose range holds it, also
+// one that joins later, and that cells are of equal size.
+func TestRunnerRanges(t *testing.T) {
+	t.Parallel()
+	require.Equal(t, 4, shard.NewPlan(ids(120), 30).Cells)
+	runners := ids(1100)
+	p := shard.NewPlan(runners, 0)
+	require.Len(t, p.Bounds, p.Cells-1)
+	counts := make([]int, p.Cells)
+	for _, id := range ids(2200) {
+		cell := p.CellOfRunner(id)
+		counts[cell]++
+		after, through := p.RunnerRange(cell)
+		require.True(t, after < id && (through == "" || id <= through), "%s in cell %d", id, cell)
+	}
+	for cell, n := range counts {
+		require.InDelta(t, 2200/p.Cells, n, 15, "cell %d", cell)
+	}
+}
+
+// TestRunnerHash checks that ids in sequence are not divided by ranges, since all later
+// ones would join the last cell.
+func TestRunnerHash(t *testing.T) {
+	t.Parallel()
+	for _, format := range []string{"server-%04d", "%08x", "runner-a-%d", "zone-%d"} {
+		var list []string
+		for i := range 350 {
+			list = append(list, fmt.Sprintf(format, i))
+		}
+		p := shard.NewPlan(list, 0)
+		require.Empty(t, p.Bounds, format)
+		require.Equal(t, p.CellOf(list[7]), p.CellOfRunner(list[7]))
+		after, through := p.RunnerRange(1)
+		require.Empty(t, after+through)
+	}
+}
+
 // store holds the row of the plan. Calls fail while it is down.
 type store struct {
 	mu   sync.Mutex
@@ -117,6 +163,7 @@
 		{"store down at the start", ``, func(time.Duration) int { return 100 }, 5 * time.Second, 2, 5200 * time.Millisecond},
 		{"malformed row", `"x"`, func(time.Duration) int { return 350 }, 0, 1, 10 * time.Millisecond},
 		{"row out of range", `{"cells":900}`, func(time.Duration) int { return 350 }, 0, 1, 10 * time.Millisecond},
+		{"bounds of another number of cells", `{"cells":3,"bounds":["b"]}`, func(time.Duration) int { return 350 }, 0, 1, 10 * time.Millisecond},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
@@ -129,7 +176,7 @@
 				time.AfterFunc(test.downFor, func() { s.set(func() { s.down = false }) })
 				a := &shard.Agreement{
 					Store: s, Clock: clock{}, Log: log.NewNopLogger(),
-					RunnerCount: func() int { return test.runners(time.Since(began)) },
+					Runners: func() []string { return ids(test.runners(time.Since(began))) },
 				}
 				p, ok := a.Run(context.Background())
 				require.True(t, ok)
@@ -147,7 +194,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &store{}
 		a := &shard.Agreement{
-			Store: s, Clock: clock{}, Log: log.NewNopLogger(), RunnerCount: func() int { return 350 },
+			Store: s, Clock: clock{}, Log: log.NewNopLogger(), Runners: func() []string { return ids(350) },
 			ProposeAfter: time.Second, OnPropose: func() { t.Error("it proposes") },
 		}
 		time.AfterFunc(900*time.Millisecond, func() {
@@ -167,7 +214,7 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		s := &store{}
-		a := &shard.Agreement{Store: s, Clock: clock{}, Log: log.NewNopLogger(), RunnerCount: func() int { return 350 }}
+		a := &shard.Agreement{Store: s, Clock: clock{}, Log: log.NewNopLogger(), Runners: func() []string { return ids(350) }}
 		time.AfterFunc(500*time.Millisecond, func() {
 			s.set(func() { s.row = table.Row{Key: shard.PlanKey, Version: 3, Value: json.RawMessage(`{"cells":2}`)} })
 		})
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -51,11 +51,13 @@
 	Keys []string `json:"keys"`
 }
 
-// Scan asks for the rows whose key has the prefix Prefix and sorts after After.
+// Scan asks for the rows whose key has the prefix Prefix, sorts after After and, unless
+// Through is empty, not after Through.
 type Scan struct {
-	Prefix string `json:"prefix"`
-	After  string `json:"after,omitempty"`
-	Limit  int    `json:"limit"` // at most MaxScanRows
+	Prefix  string `json:"prefix"`
+	After   string `json:"after,omitempty"`
+	Through string `json:"through,omitempty"` // known to the users' platform only
+	Limit   int    `json:"limit"`             // at most MaxScanRows
 }
 
 // MaxScanRows is the largest number of rows that one Scan returns.
--- a/gypsumward/hosted/directory.go
+++ b/gypsumward/hosted/directory.go
@@ -1,82 +1,117 @@
 package hosted
 
 import (
-	"sync"
+	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 
 	"gypsumward/core/cell"
+	"gypsumward/core/eventloop"
+	"gypsumward/core/mirror"
+	"gypsumward/core/shard"
 	"gypsumward/core/table"
 	"gypsumward/platform"
 )
 
+// Interval between two reads of the rows of runners. It grows with their number, so that
+// the bytes a second do not.
+const (
+	minRunnersInterval = 400 * time.Millisecond
+	maxRunnersInterval = 3 * time.Second
+	intervalPerRunner  = 8 * time.Millisecond
+)
+
+// runnersPerMbps is the number of runners whose orders and reports take about half of a
+// link of one megabit a second.
+const runnersPerMbps = 12
+
+// runnersPerCell returns the number of runners that the holder of a cell can serve over a
+// link of the given megabits a second; zero stands for a link that does not limit them.
+func runnersPerCell(mbps float64) int {
+	if mbps == 0 {
+		return shard.RunnersPerCell
+	}
+	return max(1, min(int(mbps*runnersPerMbps), shard.RunnersPerCell))
+}
+
 // directory holds the runners read from the platform's rows.
 type directory struct {
 	log     log.Logger
-	changed func()        // called after rows have been applied
-	refresh chan struct{} // requests an immediate read
-
-	mu      sync.Mutex
-	runners map[string]cell.RunnerInfo // by row key
-	readAt  time.Time                  // when the rows were last read
+	entries atomic.Pointer[[]cell.RunnerInfo] // nil before the first read
 }
 
-// apply applies rows of runners. A row of version zero removes its runner, and so does
-// a row that cannot be decoded. If complete is set, rows replaces all runners.
-func (d *directory) apply(rows []table.Row, complete bool) {
-	if len(rows) == 0 && !complete {
-		return
-	}
-	d.mu.Lock()
-	if complete || d.runners == nil {
-		d.runners = map[string]cell.RunnerInfo{}
-	}
+// apply replaces the runners by those in rows. A row that cannot be decoded names none.
+func (d *directory) apply(rows []table.Row, _ bool) {
+	list := make([]cell.RunnerInfo, 0, len(rows))
 	for _, r := range rows {
-		if r.Version == 0 {
-			delete(d.runners, r.Key)
-			continue
-		}
 		entry, err := platform.DecodeRunner(r)
 		if err != nil {
 			_ = d.log.Log("event", "badrow", "key", r.Key, "err", err)
-			delete(d.runners, r.Key)
 			continue
 		}
-		d.runners[r.Key] = entry
+		list = append(list, entry)
 	}
-	d.readAt = time.Now()
-	d.mu.Unlock()
-	d.changed()
+	d.entries.Store(&list)
 }
 
-// requestRefresh makes the poll read the rows at once. It does not block.
-func (d *directory) requestRefresh() {
-	select {
-	case d.refresh <- struct{}{}:
-	default:
+// runners returns the runners in order of their ids. The slice must not be changed.
+func (d *directory) runners() []cell.RunnerInfo {
+	if list := d.entries.Load(); list != nil {
+		return *list
 	}
+	return nil
 }
 
-// count returns the number of runners.
-func (d *directory) count() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return len(d.runners)
+// ids returns the ids of the runners.
+func (d *directory) ids() []string {
+	var ids []string
+	for _, entry := range d.runners() {
+		ids = append(ids, entry.ID)
+	}
+	return ids
 }
 
-// maxDirectoryAge is the age from which on the runners are not used before they have been
-// read again.
-const maxDirectoryAge = 5 * time.Second
-
-// snapshot returns the runners in no particular order. Ok is false if they were not read
-// recently.
-func (d *directory) snapshot() (list []cell.RunnerInfo, ok bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	list = make([]cell.RunnerInfo, 0, len(d.runners))
-	for _, entry := range d.runners {
-		list = append(list, entry)
+// pollRunners reads the rows of the runners with ids after one and not after another until
+// ctx ends. Empty ids set no bound.
+func (h *Host) pollRunners(ctx context.Context, after, through string, onRows func(rows []table.Row, whole bool)) {
+	var count atomic.Int64
+	p := &mirror.Poller{
+		Store: h.store, Prefix: platform.RunnerPrefix, OnError: h.readFailed("runners"),
+		Interval: func() time.Duration {
+			return min(max(time.Duration(count.Load())*intervalPerRunner, minRunnersInterval), maxRunnersInterval)
+		},
+		OnRows: func(rows []table.Row, whole bool) { count.Store(int64(len(rows))); onRows(rows, whole) },
 	}
-	return list, time.Since(d.readAt) < maxDirectoryAge
+	if after != "" {
+		p.After = platform.RunnerPrefix + after
+	}
+	if through != "" {
+		p.Through = platform.RunnerPrefix + through
+	}
+	p.Run(ctx)
+}
+
+// followRunners posts the runners of the cell to l until the term is over.
+func (p *participant) followRunners(l *eventloop.Loop) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-l.Done()
+		cancel()
+	}()
+	plan := p.host.plan.Load()
+	d := &directory{log: p.log}
+	after, through := plan.RunnerRange(p.number)
+	p.host.pollRunners(ctx, after, through, func(rows []table.Row, whole bool) {
+		d.apply(rows, whole)
+		var own []cell.RunnerInfo
+		for _, entry := range d.runners() {
+			if plan.CellOfRunner(entry.ID) == p.number {
+				own = append(own, entry)
+			}
+		}
+		l.Post(cell.DirectoryUpdate{Entries: own})
+	})
 }
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -44,19 +44,15 @@
 
 // Limits and intervals.
 const (
-	runnerConns       = 8
-	storeConns        = 8
-	maxPeerCalls      = 1024 // in flight to one peer
-	peerHeartbeat     = 300 * time.Millisecond
-	probeTimeout      = 250 * time.Millisecond // of a connection attempt that checks whether an instance listens
-	metricsPort       = "9464"
-	noticeWait        = 4 * time.Second        // time that the store waits for a change of the notices
-	refreshHolding    = 400 * time.Millisecond // between two reads of the runners while this instance holds a cell
-	refreshIdle       = time.Hour              // while it holds none; a new holder requests a read
-	refreshStarting   = 300 * time.Millisecond // while this instance makes the plan
-	runnersPerRefresh = 150                    // number of runners by which the interval grows by refreshHolding
-	membersHolding    = 5 * time.Second        // between two reads of the members while this instance holds a cell
-	membersStandby    = 15 * time.Second       // while it is a standby
+	runnerConns    = 8
+	storeConns     = 8
+	maxPeerCalls   = 1024 // in flight to one peer
+	peerHeartbeat  = 300 * time.Millisecond
+	probeTimeout   = 250 * time.Millisecond // of a connection attempt that checks whether an instance listens
+	metricsPort    = "9464"
+	noticeWait     = 4 * time.Second  // time that the store waits for a change of the notices
+	membersHolding = 5 * time.Second  // between two reads of the members while this instance holds a cell
+	membersStandby = 15 * time.Second // while it is a standby
 )
 
 // configWaitShare is the share of the time within which a configuration must be in force
@@ -71,7 +67,6 @@
 	metrics      *metrics
 	clock        monotonic.Clock
 	configs      route.Current
-	runners      directory
 	self         election.Member
 	plan         atomic.Pointer[shard.Plan]
 	cells        atomic.Pointer[[]*participant] // by cell number; nil until the plan is known
@@ -83,7 +78,6 @@
 	roster       *roster.Roster
 	readMembers  chan struct{} // requests an immediate read of the members
 	wake         chan struct{} // makes supervise look at the cells
-	proposing    atomic.Bool   // this instance makes the plan
 	draining     atomic.Bool
 }
 
@@ -105,7 +99,6 @@
 	h.client = &peer.Client{
 		Clock: &hlc.Clock{}, MaxCalls: maxPeerCalls, PingInterval: peerHeartbeat, DialBackoff: 20 * time.Millisecond, Dial: dial,
 	}
-	h.runners = directory{log: h.log, changed: h.postRunners, refresh: make(chan struct{}, 1)}
 	h.wake, h.readMembers = make(chan struct{}, 1), make(chan struct{}, 1)
 	h.board = &notice.Board{Store: h.store, Wait: noticeWait, Log: h.log, OnNotice: h.applyNotice, OnError: h.readFailed("notices")}
 	h.roster = &roster.Roster{Store: h.store, Self: h.self, Log: h.log, Interval: h.membersInterval, Refresh: h.readMembers}
@@ -206,11 +199,16 @@
 // joinCells agrees on the plan with the other instances and then takes part in all
 // cells.
 func (h *Host) joinCells(ctx context.Context, wg *sync.WaitGroup) {
+	proposing, stop := context.WithCancel(ctx)
+	defer stop()
+	runners := &directory{log: h.log}
 	agreement := &shard.Agreement{
-		Store: h.store, RunnerCount: h.runners.count, Clock: h.clock, Log: h.log,
-		ProposeAfter: h.startDelay("plan"), OnPropose: h.beginProposing,
+		Store: h.store, Runners: runners.ids, Clock: h.clock, Log: h.log, ProposeAfter: h.startDelay("plan"),
+		PerCell:   runnersPerCell(h.settings.Current().LinkMbps),
+		OnPropose: func() { wg.Go(func() { h.pollRunners(proposing, "", "", runners.apply) }) },
 	}
 	plan, ok := agreement.Run(ctx)
+	stop()
 	if !ok {
 		return
 	}
@@ -236,30 +234,13 @@
 	h.supervise(ctx)
 }
 
-// beginProposing starts to read the runners for the plan.
-func (h *Host) beginProposing() {
-	h.proposing.Store(true)
-	h.runners.requestRefresh()
-}
-
 // followRows starts reading the rows of the operator and of the runners.
 func (h *Host) followRows(ctx context.Context, wg *sync.WaitGroup) {
 	configs := &mirror.Mirror{
 		Store: h.store, Prefix: platform.ConfigPrefix, Wait: time.Duration(configWaitShare * float64(h.settings.Current().ConfigApply)),
 		OnRows: h.applyConfig, OnError: h.readFailed("config"),
 	}
-	runners := &mirror.Poller{
-		Store: h.store, Prefix: platform.RunnerPrefix, Refresh: h.runners.refresh,
-		Interval: h.refreshInterval, OnRows: h.runners.apply, OnError: h.readFailed("runners"),
-	}
 	wg.Go(func() { configs.Run(ctx) })
-	wg.Go(func() {
-		select { // nothing needs the runners before that
-		case <-h.runners.refresh:
-			runners.Run(ctx)
-		case <-ctx.Done():
-		}
-	})
 	wg.Go(func() { h.roster.Register(ctx) })
 	wg.Go(func() {
 		select {
@@ -270,18 +251,6 @@
 	})
 }
 
-// refreshInterval returns the time between two reads of the rows of runners. It grows
-// with their number.
-func (h *Host) refreshInterval() time.Duration {
-	switch {
-	case h.participants() == nil && h.proposing.Load():
-		return refreshStarting
-	case h.cellsHeld() == 0:
-		return refreshIdle
-	}
-	return refreshHolding * time.Duration(max(h.runners.count()/runnersPerRefresh, 1))
-}
-
 // membersInterval returns the time between two reads of the members.
 func (h *Host) membersInterval() time.Duration {
 	if h.cellsHeld() > 0 {
--- a/gypsumward/hosted/participant.go
+++ b/gypsumward/hosted/participant.go
@@ -8,7 +8,6 @@
 
 	"github.com/go-kit/log"
 
-	"gypsumward/core/cell"
 	"gypsumward/core/election"
 	"gypsumward/core/eventloop"
 	"gypsumward/core/proxy"
@@ -67,40 +66,16 @@
 	return p
 }
 
-// newLoop returns the event loop for term t and requests a fresh read of the runners.
+// newLoop returns the event loop for term t and starts what goes with the term.
 func (h *Host) newLoop(p *participant, t election.Term) *eventloop.Loop {
 	l := eventloop.New(t, p.name, h.bounds(), h.runnerClient, h.store, h.clock, p.log, h.metrics)
 	l.SetAdviser(h.adviser)
-	h.postRunnersTo(p, l)
-	h.runners.requestRefresh()
+	go p.followRunners(l)
 	p.setStandbysFrom(h.clock.Now())
 	go p.publish()
 	return l
 }
 
-// postRunnersTo posts the runners that the plan assigns to the cell of p to l, if they were
-// read recently.
-func (h *Host) postRunnersTo(p *participant, l *eventloop.Loop) {
-	runners, ok := h.runners.snapshot()
-	if !ok {
-		return
-	}
-	plan := h.plan.Load()
-	var list []cell.RunnerInfo
-	for _, entry := range runners {
-		if plan.CellOf(entry.ID) == p.number {
-			list = append(list, entry)
-		}
-	}
-	l.Post(cell.DirectoryUpdate{Entries: list})
-}
-
-// postRunners posts the current runners to the event loops of all cells that this instance
-// holds.
-func (h *Host) postRunners() {
-	h.eachLoop(h.postRunnersTo)
-}
-
 // participants returns the participants of all cells, or nil before the plan is known.
 func (h *Host) participants() []*participant {
 	if participants := h.cells.Load(); participants != nil {
