--- a/core/election/elector_test.go
+++ b/core/election/elector_test.go
@@ -194,13 +194,20 @@
 type cluster struct {
 	store    *store
 	members  map[string]*member
-	refusing map[string]bool // addresses that refuse connections
+	refusing map[string]bool              // addresses that refuse connections
+	standbys func(holder string) []string // returns the standbys of a holder; nil if every member is one
 	running  sync.WaitGroup
 }
 
 func newCluster(t *testing.T, names ...string) *cluster {
 	t.Helper()
-	c := &cluster{store: newStore(), members: map[string]*member{}, refusing: map[string]bool{}}
+	return newClusterWith(t, nil, names...)
+}
+
+// newClusterWith is like newCluster for members that choose standbys.
+func newClusterWith(t *testing.T, standbys func(holder string) []string, names ...string) *cluster {
+	t.Helper()
+	c := &cluster{store: newStore(), members: map[string]*member{}, refusing: map[string]bool{}, standbys: standbys}
 	for _, name := range names {
 		c.start(name, name+"@1")
 	}
@@ -239,6 +246,9 @@
 		return c.refusing[addr]
 	}
 	e.PromisedUntil = m.promisedUntil
+	if c.standbys != nil {
+		e.ChooseStandbys = func(holder election.Member) []string { return c.standbys(holder.Node) }
+	}
 	m.elector = e
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
--- /dev/null
+++ b/core/standby/choose_test.go
@@ -0,0 +1,98 @@
+package standby_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"gypsumward/core/election"
+	"gypsumward/core/standby"
+)
+
+// newMembers returns n members in each of the zones a, b and c. The last of each zone has
+// twice the cores of the others.
+func newMembers(n int) []election.Member {
+	var members []election.Member
+	for _, zone := range []string{"a", "b", "c"} {
+		for i := range n {
+			m := election.Member{Node: fmt.Sprintf("%s%d", zone, i), Zone: zone, Cores: 0.4}
+			if i == n-1 {
+				m.Cores = 0.8
+			}
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+func all(string) bool { return true }
+
+// TestChooseZones checks that a zone can be lost: the other zones come first, and the
+// holder is not chosen.
+func TestChooseZones(t *testing.T) {
+	t.Parallel()
+	members := newMembers(3)
+	for _, holder := range members {
+		for cell := range 20 {
+			chosen := standby.Choose(fmt.Sprintf("c%d", cell), holder, members, all)
+			require.Len(t, chosen, standby.Count)
+			require.NotContains(t, chosen, holder.Node)
+			zones := []string{chosen[0][:1], chosen[1][:1]}
+			require.NotEqual(t, zones[0], zones[1])
+			require.NotContains(t, zones, holder.Zone)
+		}
+	}
+}
+
+// TestChooseStable checks that the choice hardly changes when one node is passed over, and
+// that it does not depend on the order of the members.
+func TestChooseStable(t *testing.T) {
+	t.Parallel()
+	members := newMembers(5)
+	chosen := standby.Choose("c1", members[0], members, all)
+	reversed := slices.Clone(members)
+	slices.Reverse(reversed)
+	require.Equal(t, chosen, standby.Choose("c1", members[0], reversed, all))
+	without := standby.Choose("c1", members[0], members, func(node string) bool { return node != chosen[1] })
+	kept := 0
+	for _, node := range without {
+		if slices.Contains(chosen, node) {
+			kept++
+		}
+	}
+	require.GreaterOrEqual(t, kept, standby.Count-2)
+	require.NotContains(t, without, chosen[1])
+}
+
+// TestChooseFew checks fleets that are smaller than the number of standbys.
+func TestChooseFew(t *testing.T) {
+	t.Parallel()
+	members := newMembers(1)
+	require.Empty(t, standby.Choose("c", members[0], members[:1], all))
+	require.Equal(t, []string{"b0"}, standby.Choose("c", members[0], members[:2], all))
+	require.Empty(t, standby.Choose("c", members[0], nil, all))
+	require.Empty(t, standby.Choose("c", members[0], members, func(string) bool { return false }))
+}
+
+// TestChooseSpread checks that over many cells no node is chosen far more often than its
+// cores explain, and that nodes with more cores come first.
+func TestChooseSpread(t *testing.T) {
+	t.Parallel()
+	members := newMembers(20)
+	counts := map[string]int{}
+	const cells = 600
+	for cell := range cells {
+		for _, node := range standby.Choose(fmt.Sprintf("c%d", cell), members[cell%len(members)], members, all) {
+			counts[node]++
+		}
+	}
+	for _, m := range members {
+		if m.Cores > 0.4 {
+			require.InDelta(t, 3.5*standby.Count*cells/60, counts[m.Node], 2*standby.Count*cells/60, m.Node)
+		} else {
+			require.Less(t, counts[m.Node], 2*standby.Count*cells/60, m.Node)
+		}
+	}
+}
--- /dev/null
+++ b/core/table/memstore/doc.go
@@ -0,0 +1,2 @@
+// Package memstore provides an in-memory store of rows for tests.
+package memstore
