election, hosted, cell: shorter takeovers, last attempts elsewhere, cells balanced

Changes: the count of runners is the last one reported; a standby reads the rows once a reply is 150 ms late, and takes over after 0.75 s without heartbeat if the holder does not answer; a claim carries when the previous lease ended; an instance with several cells hands one to a standby that has none and as many cores.

The last attempt of a task no longer goes to a runner where it has failed if another one can run it later (TestLastAttemptElsewhere failed first).

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -41,6 +41,9 @@
 	Epoch           int64  // version of the holder's row, higher than in all previous terms
 	TermNumber      int    // number of holders so far, including this one
 	PreviousRunners int    // number of runners of the previous holder; zero if there was none
+	// PreviousEnd is when the previous holder had certainly stopped extending leases; zero
+	// means when the term begins.
+	PreviousEnd time.Time
 }
 
 // Cell decides which task runs on which runner. Its exported fields must be set before
@@ -83,6 +86,10 @@
 // starts nothing before LoadJobs has been called and ExtendLease has granted time.
 func New(t Term, s Settings, now time.Time) *Cell {
 	s = s.withDefaults()
+	previousEnd := now
+	if !t.PreviousEnd.IsZero() && t.PreviousEnd.Before(now) {
+		previousEnd = t.PreviousEnd
+	}
 	return &Cell{
 		Term:             t,
 		Settings:         s,
@@ -94,7 +101,7 @@
 		writer:           rowWriter{transactions: map[int64]*transaction{}},
 		estimates:        estimates{queues: map[string]*queueRunTime{}, kinds: map[string]*kindSpeed{}},
 		endedJobs:        endedJobs{jobs: map[string]jobEnd{}},
-		takeoverDeadline: now.Add(s.Lease + s.Lease/leaseSlackDivisor),
+		takeoverDeadline: previousEnd.Add(s.Lease + s.Lease/leaseSlackDivisor),
 		takenOver:        t.TermNumber <= 1,
 	}
 }
@@ -126,11 +133,17 @@
 }
 
 // Drain stops sending start orders, so that none is in flight when the next holder takes
-// over. It can't be undone.
+// over.
 func (c *Cell) Drain() {
 	c.draining = true
 }
 
+// Resume ends the effect of Drain, for a cell that is not handed over after all.
+func (c *Cell) Resume() {
+	c.draining = false
+	c.schedulePass()
+}
+
 // IsIdle reports whether no write is in flight or due. Removals of expired rows don't count.
 func (c *Cell) IsIdle() bool {
 	return len(c.writer.transactions) == 0 && len(c.writer.dirty) == 0
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -185,6 +185,9 @@
 	if r.health.consecutiveFailures > 0 && len(r.runs)+r.plannedMembers > 0 {
 		return false // after a failure, one run at a time until one succeeds
 	}
+	if slices.Contains(t.triedRunners, r) && c.spareLastAttempt(now, t, required) {
+		return false
+	}
 	if s.MaxPerRunner > 0 {
 		count := 0
 		for _, x := range r.sortedRuns() {
@@ -197,6 +200,19 @@
 	return true
 }
 
+// spareLastAttempt reports whether the next failure of t would be its last and a runner on
+// which it was not tried can run it, now or when capacity becomes free.
+func (c *Cell) spareLastAttempt(now time.Time, t *task, required Resources) bool {
+	if t.spec().LongRunning || t.failures()+1 < t.job.Queue.MaxAttempts {
+		return false
+	}
+	return slices.ContainsFunc(c.sorted, func(r *runner) bool {
+		return r.Service == t.job.Queue.Service && r.inDirectory && !r.Draining && r.fenced && !r.isSilent(now, c.Settings.SilenceTimeout) &&
+			r.Capacity.fits(required) && (t.spec().RequiredLabel == "" || slices.Contains(r.Labels, t.spec().RequiredLabel)) &&
+			t.adviceAllows(now, r) && !slices.Contains(t.triedRunners, r)
+	})
+}
+
 // startRun accounts for a new run of t on r and sends the start order. It does nothing if
 // no lease can be granted.
 func (c *Cell) startRun(now time.Time, t *task, r *runner) {
--- a/core/cell/lost_test.go
+++ b/core/cell/lost_test.go
@@ -77,3 +77,26 @@
 	w.run(2 * time.Second)
 	checkSettled(t, w)
 }
+
+// TestLastAttemptElsewhere lets one of two runners fail all that it runs while the other is
+// full. The last attempt of a task must not go where it has failed, since the other runner
+// will have capacity.
+func TestLastAttemptElsewhere(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 2, 32000)
+	w.takeOver()
+	w.run(time.Second)
+	w.runners["r0"].failsAll = true
+	long := newJob(1, true, work.Step{Count: 2, CPU: 16000, Estimate: 3000})
+	short := newJob(2, true, work.Step{Count: 2, CPU: 16000, Estimate: 60})
+	w.runners["r0"].unfit = true // so that the long job starts on the other one
+	w.submit(long)
+	w.run(300 * time.Millisecond)
+	require.Len(t, w.runners["r1"].runs, 2)
+	w.runners["r0"].unfit = false
+	w.submit(short)
+	w.run(20 * time.Second)
+	require.Equal(t, work.Succeeded, w.outcomes[long.ID].State)
+	require.Equal(t, work.Succeeded, w.outcomes[short.ID].State)
+	require.Empty(t, w.violations)
+}
--- a/core/election/elector.go
+++ b/core/election/elector.go
@@ -74,7 +74,8 @@
 	loaded            bool      // all rows have been read once
 	standbys          standbys
 	releasedEpoch     int64     // epoch of a holder that has given the cell up; zero if none has
-	runnersReported   int       // runners that the holder has reported otherwise than by a heartbeat
+	holderRunners     int       // runners that the holder last reported, by a heartbeat or in reply to a hello message
+	previousEnd       time.Time // end of the lease of the holder that this instance is replacing; zero if not known
 	lastWritten       time.Time // when the last heartbeat of this instance that was written was sent
 	term              Term      // of this instance, if leading
 	leading           bool
@@ -182,7 +183,7 @@
 		case e.key(HeartbeatRow):
 			var b Heartbeat
 			if json.Unmarshal(r.Value, &b) == nil && b != e.heartbeat {
-				e.heartbeat, e.lastHeartbeat = b, now
+				e.heartbeat, e.lastHeartbeat, e.holderRunners = b, now, b.Runners
 			}
 			e.heartbeatVersion = max(e.heartbeatVersion, r.Version)
 		case e.key(StandbysRow):
@@ -210,7 +211,7 @@
 		e.Leader.EndTerm(previousTerm, "the holder row names "+h.Node)
 	}
 	if e.leading {
-		e.term = Term{Epoch: r.Version, Number: h.TermNumber, PreviousRunners: max(e.heartbeat.Runners, e.runnersReported)}
+		e.term = Term{Epoch: r.Version, Number: h.TermNumber, PreviousRunners: e.holderRunners, PreviousEnd: e.previousEnd}
 		e.lastWritten = time.Time{}
 		e.Leader.BeginTerm(e.term)
 	}
@@ -264,8 +265,9 @@
 
 // writeHolder writes the holder row and the row of its standbys, conditional on their
 // versions and on the conditions in others. It reports whether the rows were written;
-// false after an error, when the outcome is unknown.
-func (e *Elector) writeHolder(ctx context.Context, version, standbysVersion int64, h Holder, others ...table.Op) bool {
+// false after an error, when the outcome is unknown. PreviousEnd is when the lease of the
+// previous holder has expired if they were; zero if that is not known.
+func (e *Elector) writeHolder(ctx context.Context, version, standbysVersion int64, h Holder, previousEnd time.Time, others ...table.Op) bool {
 	limited, cancel := context.WithTimeout(ctx, e.Settings.StoreTimeout)
 	defer cancel()
 	standbysOp := table.Op{Key: e.key(StandbysRow), IfVersion: standbysVersion, CheckOnly: true}
@@ -287,7 +289,9 @@
 		if !standbysOp.CheckOnly {
 			rows = append([]table.Row{{Key: e.key(StandbysRow), Version: written.Version, Value: standbysOp.Value}}, rows...)
 		}
+		e.setPreviousEnd(previousEnd)
 		e.applyRows(rows)
+		e.setPreviousEnd(time.Time{})
 		if h.Incarnation == e.Self.Incarnation {
 			e.mu.Lock()
 			e.lastWritten = sent
@@ -300,6 +304,12 @@
 	return false
 }
 
+func (e *Elector) setPreviousEnd(t time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.previousEnd = t
+}
+
 // Transfer transfers the cell to another member. It reports whether this instance is no
 // longer the holder.
 func (e *Elector) Transfer(ctx context.Context, to Member) bool {
@@ -310,7 +320,7 @@
 		return true
 	}
 	_ = e.Log.Log("event", "resign", "to", to.Node, "epoch", term.Epoch)
-	if e.writeHolder(ctx, term.Epoch, standbysVersion, Holder{Member: to, TermNumber: term.Number + 1}) {
+	if e.writeHolder(ctx, term.Epoch, standbysVersion, Holder{Member: to, TermNumber: term.Number + 1}, time.Time{}) {
 		return true
 	}
 	e.mu.Lock()
--- a/core/election/member.go
+++ b/core/election/member.go
@@ -1,6 +1,9 @@
 package election
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"time"
+)
 
 // Member describes one incarnation of an instance.
 type Member struct {
@@ -30,6 +33,9 @@
 	Epoch           int64 // version of the holder row; the fencing token
 	Number          int   // term number, counted from 1
 	PreviousRunners int   // runners that the previous holder last reported
+	// PreviousEnd is when the lease of the previous holder had certainly expired; zero if
+	// that is not known.
+	PreviousEnd time.Time
 }
 
 // Key returns the key of a row of a cell; row is one of the names below, or empty for
--- a/core/election/settings.go
+++ b/core/election/settings.go
@@ -8,6 +8,7 @@
 	DefaultLeaseDuration     = 600 * time.Millisecond
 	DefaultRefusedTimeout    = 700 * time.Millisecond
 	DefaultSilentTimeout     = 1200 * time.Millisecond
+	DefaultCutTimeout        = 750 * time.Millisecond
 	DefaultStoreTimeout      = 700 * time.Millisecond
 	DefaultWatchWait         = time.Second
 	DefaultProbeInterval     = 100 * time.Millisecond
@@ -24,6 +25,7 @@
 	LeaseDuration     time.Duration // validity of a heartbeat, from when it was sent
 	RefusedTimeout    time.Duration // without heartbeat until takeover if the holder's address refuses connections; greater than LeaseDuration
 	SilentTimeout     time.Duration // without heartbeat until takeover in any other case; greater than LeaseDuration
+	CutTimeout        time.Duration // instead of SilentTimeout if the holder does not answer this instance either; greater than LeaseDuration
 	StoreTimeout      time.Duration // of a call to the store
 	WatchWait         time.Duration // for which the store waits for a change
 	ProbeInterval     time.Duration // between connection probes of the holder's address
@@ -43,6 +45,7 @@
 	setDefault(&s.LeaseDuration, DefaultLeaseDuration)
 	setDefault(&s.SilentTimeout, DefaultSilentTimeout)
 	setDefault(&s.RefusedTimeout, DefaultRefusedTimeout)
+	setDefault(&s.CutTimeout, DefaultCutTimeout)
 	setDefault(&s.StoreTimeout, DefaultStoreTimeout)
 	setDefault(&s.WatchWait, DefaultWatchWait)
 	setDefault(&s.ProbeInterval, DefaultProbeInterval)
--- a/core/election/standbys.go
+++ b/core/election/standbys.go
@@ -112,7 +112,7 @@
 func (e *Elector) RunnersReported(n int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.runnersReported = n
+	e.holderRunners = n
 }
 
 // Released records that the holder of an epoch, possibly this instance, has ended its term
--- a/core/election/takeover.go
+++ b/core/election/takeover.go
@@ -52,7 +52,12 @@
 			}
 		}
 		if reason != "" && e.awaitClaimTurn(ctx, seen) {
-			e.claim(ctx, seen, holder.TermNumber+1, reason)
+			previousEnd := time.Time{}
+			if seen.holder != 0 {
+				// If no heartbeat was written since lastHeartbeat, the lease ended by then.
+				previousEnd = latest(lastHeartbeat.Add(e.Settings.LeaseDuration), promisedUntil)
+			}
+			e.claim(ctx, seen, holder.TermNumber+1, previousEnd, reason)
 		}
 	}
 }
@@ -70,15 +75,27 @@
 	return e.HolderReachable != nil && e.HolderReachable()
 }
 
-// holderSilent reports whether no heartbeat has been seen for longer than SilentTimeout,
-// or for longer than OutsiderTimeout if this instance is no standby, while the store was
-// readable for at least SilentTimeout. The caller holds the lock.
+// holderSilent reports whether no heartbeat has been seen for longer than SilentTimeout, or
+// CutTimeout if the holder does not answer hello messages, while the store was readable for
+// as long. For an instance that is no standby it takes OutsiderTimeout. The caller holds
+// the lock.
 func (e *Elector) holderSilent(now time.Time, standby bool) bool {
 	timeout := e.Settings.OutsiderTimeout
-	if standby {
+	switch {
+	case standby && e.HolderReachable != nil && !e.HolderReachable():
+		timeout = e.Settings.CutTimeout
+	case standby:
 		timeout = e.Settings.SilentTimeout
 	}
-	return !e.watchHealthySince.IsZero() && now.Sub(e.lastHeartbeat) > timeout && now.Sub(e.watchHealthySince) > e.Settings.SilentTimeout
+	return !e.watchHealthySince.IsZero() && now.Sub(e.lastHeartbeat) > timeout && now.Sub(e.watchHealthySince) > min(timeout, e.Settings.SilentTimeout)
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // awaitClaimTurn waits so that instances better suited to hold the cell claim it first,
@@ -103,8 +120,8 @@
 
 // claim writes this instance into the holder row, provided that none of the rows has
 // changed since the decision.
-func (e *Elector) claim(ctx context.Context, seen rowVersions, termNumber int, reason string) {
+func (e *Elector) claim(ctx context.Context, seen rowVersions, termNumber int, previousEnd time.Time, reason string) {
 	_ = e.Log.Log("event", "claim", "why", reason, "version", seen.holder, "round", termNumber)
-	e.writeHolder(ctx, seen.holder, seen.standbys, Holder{Member: e.Self, TermNumber: termNumber},
+	e.writeHolder(ctx, seen.holder, seen.standbys, Holder{Member: e.Self, TermNumber: termNumber}, previousEnd,
 		table.Op{Key: e.key(HeartbeatRow), IfVersion: seen.heartbeat, CheckOnly: true})
 }
--- a/core/eventloop/loop.go
+++ b/core/eventloop/loop.go
@@ -85,7 +85,7 @@
 		Term: t, Runners: r, Store: st, Clock: clock,
 		messages: make(chan cell.Message, messageQueueSize), done: make(chan struct{}),
 	}
-	l.cell = cell.New(cell.Term{Cell: name, HolderKey: election.Key(name, election.HolderRow), Epoch: t.Epoch, TermNumber: t.Number, PreviousRunners: t.PreviousRunners}, s, clock.Now())
+	l.cell = cell.New(cell.Term{Cell: name, HolderKey: election.Key(name, election.HolderRow), Epoch: t.Epoch, TermNumber: t.Number, PreviousRunners: t.PreviousRunners, PreviousEnd: t.PreviousEnd}, s, clock.Now())
 	l.cell.Log, l.cell.Metrics = logger, metrics
 	l.cell.Orders, l.cell.Store = orderSender{l}, writeSender{l}
 	l.cell.WallClock = (&wallclock.Clock{Monotonic: clock.Now, Wall: time.Now}).Now
@@ -265,6 +265,13 @@
 
 func (drainMessage) Apply(c *cell.Cell, _ time.Time) { c.Drain() }
 
+// Resume makes the cell start tasks again after Drain.
+func (l *Loop) Resume() { l.Post(resumeMessage{}) }
+
+type resumeMessage struct{}
+
+func (resumeMessage) Apply(c *cell.Cell, _ time.Time) { c.Resume() }
+
 // Submit submits a job to the cell and waits for the outcome. The error is ErrQueueFull
 // if the job was not submitted, ErrTermOver if the term ended without an outcome, or that
 // of ctx.
--- a/core/promise/promise_test.go
+++ b/core/promise/promise_test.go
@@ -96,7 +96,7 @@
 	p.received.RecordHello(p.now, promise.Hello{Member: election.Member{Node: "q", Incarnation: "q@1", StartedAt: 7}})
 	_, ok := p.received.Until(p.now, nil, false)
 	require.False(t, ok, "another peer has promised nothing")
-	m, ok := p.received.BestSuccessor(p.now, time.Second)
+	m, _, ok := p.received.BestSuccessor(p.now, time.Second)
 	require.True(t, ok)
 	require.Equal(t, "q", m.Node)
 	p.now = p.now.Add(9 * time.Second)
@@ -183,10 +183,10 @@
 		for _, hello := range test.hellos {
 			received.RecordHello(now, hello)
 		}
-		m, ok := received.BestSuccessor(now.Add(time.Second), time.Second)
+		m, _, ok := received.BestSuccessor(now.Add(time.Second), time.Second)
 		require.Equal(t, test.want, m.Node)
 		require.Equal(t, test.want != "", ok)
-		_, ok = received.BestSuccessor(now.Add(2*time.Second), time.Second)
+		_, _, ok = received.BestSuccessor(now.Add(2*time.Second), time.Second)
 		require.False(t, ok, "no recent hello message")
 	}
 }
--- a/core/promise/received.go
+++ b/core/promise/received.go
@@ -90,16 +90,16 @@
 
 // BestSuccessor returns the peer best suited to hold a cell next, of those that sent a
 // hello message within the given time: the peer that holds the fewest cells, among these
-// the one with the most cores, and among these the one that started last. Ok is false if
-// there is none.
-func (r *Received) BestSuccessor(now time.Time, within time.Duration) (m election.Member, ok bool) {
+// the one with the most cores, and among these the one that started last. It also returns
+// how many cells that peer holds. Ok is false if there is none.
+func (r *Received) BestSuccessor(now time.Time, within time.Duration) (m election.Member, cells int, ok bool) {
 	var best entry
 	for _, e := range r.peers {
 		if now.Sub(e.helloAt) <= within && (!ok || e.preferredTo(best)) {
 			best, ok = e, true
 		}
 	}
-	return best.member, ok
+	return best.member, best.cells, ok
 }
 
 // preferredTo reports whether e is better suited than other to hold a cell.
--- a/core/proxy/hello.go
+++ b/core/proxy/hello.go
@@ -74,6 +74,8 @@
 	hello := p.granted.NextHello(p.Self)
 	p.mu.Unlock()
 	hello.Cells, hello.StandbyOnly = p.HeldCells(), true
+	late := time.AfterFunc(helloPatience, p.Elector.Refresh)
+	defer late.Stop()
 	var reply promise.HelloReply
 	if p.Client.Call(limited, h.Addr, p.method(methodHello), hello, &reply) != nil || !reply.Leading {
 		p.Elector.Refresh()
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -39,6 +39,7 @@
 	retryInterval       = 10 * time.Millisecond
 	helloInterval       = 200 * time.Millisecond
 	helloTimeout        = 700 * time.Millisecond
+	helloPatience       = 150 * time.Millisecond // without a reply until the rows are read
 	refusalRetryAfter   = time.Second
 	readTimeout         = 500 * time.Millisecond
 )
@@ -248,19 +249,20 @@
 }
 
 // Successor returns the member best suited to hold the cell next, of those that recently
-// sent a hello message. Ok is false if there is none.
-func (p *Proxy) Successor() (m election.Member, ok bool) {
+// sent a hello message, and the number of cells that it holds. Ok is false if there is
+// none.
+func (p *Proxy) Successor() (m election.Member, cells int, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.received.BestSuccessor(p.Clock.Now(), helloTimeout)
 }
 
-// HolderReachable reports whether the holder replied to one of the last two hello messages.
+// HolderReachable reports whether the holder replied to a recent hello message.
 func (p *Proxy) HolderReachable() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	lastReply := p.granted.LastReply()
-	return !lastReply.IsZero() && p.Clock.Now().Sub(lastReply) < 2*helloInterval
+	return !lastReply.IsZero() && p.Clock.Now().Sub(lastReply) < helloInterval+helloPatience
 }
 
 // Connected reports whether this instance is the holder or reaches it: by the replies to
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -79,6 +79,7 @@
 	readMembers  chan struct{} // requests an immediate read of the members
 	wake         chan struct{} // makes supervise look at the cells
 	draining     atomic.Bool
+	balanceAt    time.Time // earliest time at which balance hands the next cell over
 }
 
 // New returns an instance with the given settings that logs to out. It does nothing
--- a/gypsumward/hosted/participant.go
+++ b/gypsumward/hosted/participant.go
@@ -135,11 +135,35 @@
 // another instance. If that cannot be written before ctx ends, it ends the term, and any
 // standby may take over.
 func (p *participant) handOver(ctx context.Context, l *eventloop.Loop) {
-	successor, ok := p.proxy.Successor()
+	successor, _, ok := p.proxy.Successor()
 	if !ok {
 		_ = p.log.Log("event", "nosuccessor")
 		return
 	}
+	if p.transfer(ctx, l, successor) {
+		return
+	}
+	l.Depose("the handover could not be written")
+	<-l.Done()
+	p.elector.Released(l.Term.Epoch)
+	limited, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+	defer cancel()
+	p.proxy.AnnounceRelease(limited, l.Term.Epoch)
+}
+
+// giveUp hands the cell over to an instance that holds none, or goes on if that cannot be
+// written.
+func (p *participant) giveUp(l *eventloop.Loop, successor election.Member) {
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+	defer cancel()
+	if !p.transfer(ctx, l, successor) {
+		l.Resume()
+	}
+}
+
+// transfer drains the cell and names its next holder. It reports whether this instance is
+// no longer the holder.
+func (p *participant) transfer(ctx context.Context, l *eventloop.Loop, successor election.Member) bool {
 	l.Drain()
 	for !l.Idle() && ctx.Err() == nil {
 		time.Sleep(3 * time.Millisecond)
@@ -147,16 +171,11 @@
 	for ctx.Err() == nil {
 		if p.elector.Transfer(ctx, successor) {
 			p.announce()
-			return
+			return true
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	l.Depose("the handover could not be written")
-	<-l.Done()
-	p.elector.Released(l.Term.Epoch)
-	limited, cancel := context.WithTimeout(context.Background(), handoverTimeout)
-	defer cancel()
-	p.proxy.AnnounceRelease(limited, l.Term.Epoch)
+	return false
 }
 
 // announce notifies the holder that this instance has named, and all others.
--- a/gypsumward/hosted/standby.go
+++ b/gypsumward/hosted/standby.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gypsumward/core/election"
+	"gypsumward/core/monotonic"
 	"gypsumward/core/standby"
 )
 
@@ -19,6 +20,8 @@
 	lookupInterval    = time.Second
 	standbyTimeout    = 2500 * time.Millisecond // without a hello message until a standby is replaced
 	absence           = 15 * time.Second        // for which a replaced standby is passed over
+	arrangeRetry      = time.Second             // after standbys could not be written
+	balanceInterval   = 2 * time.Second         // between cells that an instance hands over to balance them
 )
 
 // Delay until an instance acts when all instances start together. Those with more cores act
@@ -52,9 +55,11 @@
 	ticker := time.NewTicker(superviseInterval)
 	defer ticker.Stop()
 	for {
+		now := h.clock.Now()
 		for _, p := range h.participants() {
-			p.update(ctx, h.clock.Now())
+			p.update(ctx, now)
 		}
+		h.balance(now)
 		select {
 		case <-ticker.C:
 		case <-h.wake:
@@ -67,6 +72,25 @@
 	}
 }
 
+// balance hands one cell over if this instance holds several and a standby of one holds
+// none, on at least as many cores.
+func (h *Host) balance(now time.Time) {
+	if h.draining.Load() || h.cellsHeld() < 2 || now.Before(h.balanceAt) {
+		return
+	}
+	h.balanceAt = now.Add(balanceInterval)
+	for _, p := range h.participants() {
+		successor, cells, ok := p.proxy.Successor()
+		if l := p.proxy.CurrentLoop(); l != nil && ok && cells == 0 && successor.Cores >= h.self.Cores && p.arranging.CompareAndSwap(false, true) {
+			go func() {
+				defer p.arranging.Store(false)
+				p.giveUp(l, successor)
+			}()
+			return
+		}
+	}
+}
+
 // update starts or ends the competition of this instance for the cell, and looks after the
 // standbys of the cell if this instance holds it.
 func (p *participant) update(ctx context.Context, now time.Time) {
@@ -190,7 +214,7 @@
 func (p *participant) arrangeStandbys(ctx context.Context, now time.Time) {
 	current, known := p.elector.Standbys()
 	silent, due := p.replaceableStandbys(now)
-	if known && !due {
+	if !due && known {
 		return
 	}
 	chosen := p.chooseStandbys(p.host.self)
@@ -198,10 +222,12 @@
 	if len(chosen) == 0 || (known && complete) || sameNodes(chosen, current) {
 		return
 	}
-	if p.elector.SetStandbys(ctx, chosen) {
-		p.setStandbysFrom(now)
-		p.publish()
+	if !p.elector.SetStandbys(ctx, chosen) {
+		monotonic.Sleep(ctx, arrangeRetry)
+		return
 	}
+	p.setStandbysFrom(now)
+	p.publish()
 }
 
 func sameNodes(a, b []string) bool {
