hosted, promise, election: cells spread over instances by their cores

Changes: instances claim cells one after the other, each in an order of its own; an instance hands a cell over if a standby would have fewer cells for its cores. Hello replies carry the last heartbeat, so a standby knows it without the store. A cell that may start nothing refuses with the reason lease, not load.

--- a/core/cell/admit.go
+++ b/core/cell/admit.go
@@ -8,6 +8,10 @@
 // not load.
 const retryAfter = time.Second
 
+// leaseGrace is how long the lease of the holder must have expired before jobs are refused,
+// since it may be extended again.
+const leaseGrace = 250 * time.Millisecond
+
 // refusalReason decides on the admission of j and sets its due time. It returns an empty
 // reason if j is admitted, else a Reason constant and the time after which the caller may
 // submit again.
@@ -17,6 +21,9 @@
 	if j.inherited || !c.loaded {
 		return "", 0
 	}
+	if wait := now.Sub(c.leaseUntil); wait > leaseGrace && !c.leaseUntil.IsZero() {
+		return ReasonLease, retryAfter
+	}
 	switch {
 	case !j.Transient && (c.storeDown(now) || !now.Before(c.leaseUntil)):
 		return ReasonStore, retryAfter
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -108,7 +108,7 @@
 
 // leaseSlackDivisor sets the safety margin for the leases of previous holders: a new
 // holder waits for 1/leaseSlackDivisor of a lease longer than the lease itself.
-const leaseSlackDivisor = 8
+const leaseSlackDivisor = 16
 
 // Deposed reports whether the term has ended because another instance holds the cell.
 // A deposed Cell does nothing.
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -30,6 +30,7 @@
 const (
 	ReasonLoad         = "load"  // the job could not be done in time
 	ReasonStore        = "store" // the store accepts no writes
+	ReasonLease        = "lease" // the holder may start nothing, since another may have become it
 	ReasonNoRunnerFits = "tasks" // no runner is large enough
 )
 
--- a/core/election/elector.go
+++ b/core/election/elector.go
@@ -255,7 +255,9 @@
 		monotonic.Sleep(ctx, 20*time.Millisecond)
 	case written.Committed:
 		e.mu.Lock()
-		e.lastWritten = now
+		if e.leading && e.term.Epoch == term.Epoch {
+			e.lastWritten, e.heartbeat, e.heartbeatVersion = now, b, max(e.heartbeatVersion, written.Version)
+		}
 		e.mu.Unlock()
 		e.Leader.Renew(term, now.Add(e.Settings.LeaseDuration))
 	default:
--- a/core/election/standbys.go
+++ b/core/election/standbys.go
@@ -83,16 +83,27 @@
 	}
 }
 
-// HeartbeatAge returns the time since the last heartbeat of this instance that was written
-// had been sent. It is zero if none was in this term.
-func (e *Elector) HeartbeatAge() time.Duration {
+// LastHeartbeat returns the last heartbeat of this instance that was written, the version
+// of its row, and the time since it was sent. All are zero if none was in this term.
+func (e *Elector) LastHeartbeat() (b Heartbeat, version int64, age time.Duration) {
 	now := e.Clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.lastWritten.IsZero() {
-		return 0
+		return Heartbeat{}, 0, 0
+	}
+	return e.heartbeat, e.heartbeatVersion, max(now.Sub(e.lastWritten), time.Millisecond)
+}
+
+// ReportHeartbeat records a heartbeat that the holder has reported as written, with the
+// version of its row, as if the row had been read now.
+func (e *Elector) ReportHeartbeat(b Heartbeat, version int64) {
+	now := e.Clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if version > e.heartbeatVersion && b.Incarnation == e.holder.Incarnation {
+		e.heartbeat, e.lastHeartbeat, e.holderRunners, e.heartbeatVersion = b, now, b.Runners, version
 	}
-	return max(now.Sub(e.lastWritten), time.Millisecond)
 }
 
 // ExtensionLimit returns the time beyond which promises must not extend the lease of this
@@ -107,14 +118,6 @@
 	return e.lastWritten.Add(e.Settings.MaxExtension)
 }
 
-// RunnersReported records the number of runners that the holder can send orders to,
-// according to its reply to a hello message.
-func (e *Elector) RunnersReported(n int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.holderRunners = n
-}
-
 // Released records that the holder of an epoch, possibly this instance, has ended its term
 // by itself. It sends no further heartbeat, and a standby may take over at once.
 func (e *Elector) Released(epoch int64) {
--- a/core/promise/hello.go
+++ b/core/promise/hello.go
@@ -37,8 +37,12 @@
 	Incarnation string `json:"life"`
 	Timestamp   int64  `json:"stamp"` // when the reply was sent, in nanoseconds on the clock of the sender
 
-	HeartbeatAge span.Span `json:"beat,omitempty"`    // time since the holder sent the last heartbeat that was written; zero if none was
-	Runners      int       `json:"runners,omitempty"` // runners that the holder can send orders to
+	HeartbeatAge span.Span `json:"beat,omitempty"` // time since the holder sent the last heartbeat that was written; zero if none was
+
+	// Heartbeat is the last heartbeat that was written, and HeartbeatVersion the version of
+	// its row; zero if none was.
+	Heartbeat        election.Heartbeat `json:"last"`
+	HeartbeatVersion int64              `json:"version,omitempty"`
 }
 
 // maxHeartbeatAge is the age of a heartbeat from which on the holder's path through the
--- a/core/promise/received.go
+++ b/core/promise/received.go
@@ -89,9 +89,9 @@
 }
 
 // BestSuccessor returns the peer best suited to hold a cell next, of those that sent a
-// hello message within the given time: the peer that holds the fewest cells, among these
-// the one with the most cores, and among these the one that started last. It also returns
-// how many cells that peer holds. Ok is false if there is none.
+// hello message within the given time: the one that would have the fewest cells for its
+// cores, among these the one that holds the fewest, and among these the one that started
+// last. It also returns how many cells that peer holds. Ok is false if there is none.
 func (r *Received) BestSuccessor(now time.Time, within time.Duration) (m election.Member, cells int, ok bool) {
 	var best entry
 	for _, e := range r.peers {
@@ -102,11 +102,17 @@
 	return best.member, best.cells, ok
 }
 
+// CellsPerCore returns the load of an instance that holds a number of cells.
+func CellsPerCore(cells int, cores float64) float64 { return float64(cells) / max(cores, minCores) }
+
+// minCores stands for unknown numbers of cores.
+const minCores = 0.01
+
 // preferredTo reports whether e is better suited than other to hold a cell.
 func (e entry) preferredTo(other entry) bool {
 	return cmp.Or(
+		cmp.Compare(CellsPerCore(other.cells+1, other.member.Cores), CellsPerCore(e.cells+1, e.member.Cores)),
 		cmp.Compare(other.cells, e.cells),
-		cmp.Compare(e.member.Cores, other.member.Cores),
 		cmp.Compare(e.member.StartedAt, other.member.StartedAt),
 	) > 0
 }
--- a/core/proxy/hello.go
+++ b/core/proxy/hello.go
@@ -13,7 +13,8 @@
 // handleHello records the hello message of a peer and returns the reply.
 func (p *Proxy) handleHello(_ context.Context, hello promise.Hello) (promise.HelloReply, error) {
 	standbys, known := p.Elector.Standbys()
-	limit, age := p.Elector.ExtensionLimit(), p.Elector.HeartbeatAge()
+	limit := p.Elector.ExtensionLimit()
+	heartbeat, version, age := p.Elector.LastHeartbeat()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
@@ -28,7 +29,8 @@
 		p.loop.Renew(until)
 	}
 	return promise.HelloReply{
-		Leading: true, Incarnation: p.Self.Incarnation, Timestamp: now.UnixNano(), HeartbeatAge: span.Of(age), Runners: p.loop.RunnerCount(),
+		Leading: true, Incarnation: p.Self.Incarnation, Timestamp: now.UnixNano(), HeartbeatAge: span.Of(age),
+		Heartbeat: heartbeat, HeartbeatVersion: version,
 	}, nil
 }
 
@@ -82,7 +84,7 @@
 		return
 	}
 	p.recordCall(true)
-	p.Elector.RunnersReported(reply.Runners)
+	p.Elector.ReportHeartbeat(reply.Heartbeat, reply.HeartbeatVersion)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.granted.RecordReply(p.Clock.Now(), reply)
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -217,7 +217,7 @@
 	peers := &peer.Server{Addr: h.self.Addr, Clock: h.client.Clock, MaxCalls: maxPeerCalls, DrainTimeout: 100 * time.Millisecond}
 	var participants []*participant
 	for i := range plan.Cells {
-		p := h.newParticipant(i)
+		p := h.newParticipant(i, plan.Cells)
 		p.proxy.RegisterMethods(peers)
 		participants = append(participants, p)
 	}
--- a/gypsumward/hosted/participant.go
+++ b/gypsumward/hosted/participant.go
@@ -49,11 +49,12 @@
 // holder answers. A standby that it does not answer reads them at once.
 const pollInterval = 10 * time.Second
 
-// newParticipant returns the participant for the cell with the given number.
-func (h *Host) newParticipant(number int) *participant {
+// newParticipant returns the participant for the cell with the given number out of
+// cells.
+func (h *Host) newParticipant(number, cells int) *participant {
 	p := &participant{number: number, name: shard.CellName(number)}
 	p.log = log.With(h.log, "cell", p.name)
-	p.host, p.joined, p.delay, p.absent = h, h.clock.Now(), h.startDelay(p.name), map[string]time.Time{}
+	p.host, p.joined, p.delay, p.absent = h, h.clock.Now(), h.startDelay(p.name)+time.Duration(h.claimOrder(number, cells))*startDelayPerCell, map[string]time.Time{}
 	p.elector = election.New(p.name, election.Settings{PollInterval: pollInterval})
 	p.proxy = &proxy.Proxy{
 		Cell: p.name, Self: h.self, Elector: p.elector, Client: h.client, Store: h.store, Clock: h.clock,
--- a/gypsumward/hosted/standby.go
+++ b/gypsumward/hosted/standby.go
@@ -7,6 +7,8 @@
 
 	"gypsumward/core/election"
 	"gypsumward/core/monotonic"
+	"gypsumward/core/promise"
+	"gypsumward/core/shard"
 	"gypsumward/core/standby"
 )
 
@@ -25,10 +27,12 @@
 )
 
 // Delay until an instance acts when all instances start together. Those with more cores act
-// first, so that they hold the cells, and few act before the first has finished.
+// first, so that they hold the cells, few act before the first has finished, and none
+// claims several cells at once.
 const (
 	startDelayPerCore = 120 * time.Millisecond // for one core; divided by the number of cores
-	startDelaySpread  = 400 * time.Millisecond
+	startDelaySpread  = 150 * time.Millisecond
+	startDelayPerCell = 300 * time.Millisecond // for each cell that an instance claims earlier
 )
 
 // startDelay returns how long this instance waits before it acts for name, a cell or the
@@ -37,6 +41,19 @@
 	return time.Duration(float64(startDelayPerCore)/h.self.Cores + float64(startDelaySpread)*standby.Uniform(name, h.self.Node))
 }
 
+// claimOrder returns the position of a cell in the order in which this instance claims
+// cells without holder. The order differs between instances.
+func (h *Host) claimOrder(cell, cells int) int {
+	own := standby.Uniform(shard.CellName(cell), h.self.Node)
+	position := 0
+	for i := range cells {
+		if standby.Uniform(shard.CellName(i), h.self.Node) < own {
+			position++
+		}
+	}
+	return position
+}
+
 // applyNotice passes a notice to the participant of its cell.
 func (h *Host) applyNotice(cell string, n election.Notice) {
 	for _, p := range h.participants() {
@@ -72,16 +89,20 @@
 	}
 }
 
-// balance hands one cell over if this instance holds several and a standby of one holds
-// none, on at least as many cores.
+// balance hands one cell over if this instance holds several and a standby of one would
+// have fewer cells for its cores.
 func (h *Host) balance(now time.Time) {
-	if h.draining.Load() || h.cellsHeld() < 2 || now.Before(h.balanceAt) {
+	held := h.cellsHeld()
+	if h.draining.Load() || held < 2 || now.Before(h.balanceAt) {
 		return
 	}
 	h.balanceAt = now.Add(balanceInterval)
 	for _, p := range h.participants() {
 		successor, cells, ok := p.proxy.Successor()
-		if l := p.proxy.CurrentLoop(); l != nil && ok && cells == 0 && successor.Cores >= h.self.Cores && p.arranging.CompareAndSwap(false, true) {
+		if !ok || promise.CellsPerCore(cells+1, successor.Cores) >= promise.CellsPerCore(held, h.self.Cores) {
+			continue
+		}
+		if l := p.proxy.CurrentLoop(); l != nil && p.arranging.CompareAndSwap(false, true) {
 			go func() {
 				defer p.arranging.Store(false)
 				p.giveUp(l, successor)
