core: one malformed message of a runner or a peer takes no process down

A peer's submission was not validated, so a negative count of tasks panicked too; a promise reported with a time to come or of any length counted in full; a heartbeat version reported wrongly made each later claim conflict; a notice could name any epoch.

Changes: occurrences are bounded before they are multiplied; submissions of peers are validated; promises are bounded by what a peer can give; the store's rows correct versions; a message about a handover makes the receiver read the rows; a panic of a handler fails its call, is counted and logged with its method and stack.

--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -124,11 +124,11 @@
 
 // task returns the task with the given identifier, or nil if j has none.
 func (j *job) task(id work.Task) *task {
-	if id.Occurrence < 0 || id.Step < 0 || id.Step >= len(j.Steps) {
+	if id.Occurrence < 0 || id.Occurrence >= j.Occurrences() || id.Step < 0 || id.Step >= len(j.Steps) {
 		return nil
 	}
 	step := id.Occurrence*len(j.Steps) + id.Step
-	if step >= len(j.tasks) || id.Index < 0 || id.Index >= len(j.tasks[step]) {
+	if id.Index < 0 || id.Index >= len(j.tasks[step]) {
 		return nil
 	}
 	return j.tasks[step][id.Index]
--- a/core/election/elector.go
+++ b/core/election/elector.go
@@ -302,10 +302,23 @@
 		}
 		return true
 	}
+	e.correctVersions(written.Conflicts)
 	e.applyRows(written.Conflicts)
 	return false
 }
 
+// correctVersions lowers versions that a peer has reported wrongly to those of rows that
+// the store has returned. Otherwise every claim would conflict.
+func (e *Elector) correctVersions(rows []table.Row) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range rows {
+		if r.Key == e.key(HeartbeatRow) {
+			e.heartbeatVersion = min(e.heartbeatVersion, r.Version)
+		}
+	}
+}
+
 func (e *Elector) setPreviousEnd(t time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/core/notice/board.go
+++ b/core/notice/board.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/juju/errors"
 
 	"gypsumward/core/election"
 	"gypsumward/core/mirror"
@@ -24,6 +25,9 @@
 	maxBackoff   = time.Second
 )
 
+// errEpoch is the error of a notice that is older than the epoch it names.
+const errEpoch = errors.ConstError("the epoch is later than the notice")
+
 // Store reads and writes rows.
 type Store interface {
 	mirror.Store
@@ -87,7 +91,11 @@
 			continue
 		}
 		var n election.Notice
-		if err := json.Unmarshal(r.Value, &n); err != nil {
+		err := json.Unmarshal(r.Value, &n)
+		if err == nil && n.Epoch >= r.Version {
+			err = errEpoch
+		}
+		if err != nil {
 			_ = b.Log.Log("event", "badrow", "key", r.Key, "err", err)
 			n = current.notice
 		}
--- a/core/notice/board_test.go
+++ b/core/notice/board_test.go
@@ -19,6 +19,7 @@
 // newBoard returns a board that runs until the test ends.
 func newBoard(t *testing.T, s *memstore.Store) *notice.Board {
 	t.Helper()
+	s.SetVersion(100)
 	b := &notice.Board{Store: s, Log: log.NewNopLogger(), OnNotice: func(string, election.Notice) {}}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -97,7 +98,7 @@
 // TestOddRows writes rows that are no notices. They must not replace a notice.
 func TestOddRows(t *testing.T) {
 	t.Parallel()
-	for _, value := range []string{`"x"`, `[]`, `{"epoch":"x"}`, `{}`, `null`} {
+	for _, value := range []string{`"x"`, `[]`, `{"epoch":"x"}`, `{}`, `null`, `{"epoch":5000,"holder":{"node":"x"}}`} {
 		synctest.Test(t, func(t *testing.T) {
 			s := &memstore.Store{}
 			b := newBoard(t, s)
--- a/core/peer/server.go
+++ b/core/peer/server.go
@@ -35,6 +35,10 @@
 	MaxMessage   int64         // bytes of one message; zero means DefaultMaxMessage
 	DrainTimeout time.Duration // time for calls in flight to finish when Run ends; zero means DefaultDrainTimeout
 
+	// OnPanic is called with the method and the value when a handler has panicked. The call
+	// fails and may have had an effect. It may be nil.
+	OnPanic func(method string, value any)
+
 	handlers map[string]handler
 	running  sync.WaitGroup // calls in flight
 	mu       sync.Mutex
@@ -249,7 +253,7 @@
 		if req.Params != nil {
 			params = *req.Params
 		}
-		result, res.Error = s.handlers[req.Method](ctx, params)
+		result, res.Error = s.callHandler(ctx, req.Method, params)
 	}
 	if res.Error == nil {
 		res.Error = setResult(res, result, s.MaxMessage)
@@ -257,6 +261,19 @@
 	s.reply(ctx, conn, res)
 }
 
+// callHandler calls the handler of a method. A panic of the handler fails the call only.
+func (s *Server) callHandler(ctx context.Context, method string, params json.RawMessage) (result any, e *jsonrpc2.Error) {
+	defer func() {
+		if v := recover(); v != nil {
+			if s.OnPanic != nil {
+				s.OnPanic(method, v)
+			}
+			result, e = nil, newError(CodeFailed, "the handler panicked", errorData{Ran: api.RanUnknown})
+		}
+	}()
+	return s.handlers[method](ctx, params)
+}
+
 // reply sends a response. If this fails, the outcome is unknown to the caller.
 func (s *Server) reply(ctx context.Context, conn *jsonrpc2.Conn, res *jsonrpc2.Response) {
 	res.Meta = meta{Timestamp: s.Clock.Now()}.encode()
--- a/core/promise/promise_test.go
+++ b/core/promise/promise_test.go
@@ -218,3 +218,22 @@
 	require.True(t, received.Heard(now.Add(time.Second), "a", time.Second))
 	require.False(t, received.Heard(now.Add(time.Second), "c", time.Second))
 }
+
+// TestMalformedPromise reports promises that no reply can have led to. They must count for
+// no more than one that a peer can give.
+func TestMalformedPromise(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(100, 0)
+	for _, hello := range []promise.Hello{
+		{ReplyTimestamp: now.Add(time.Hour).UnixNano(), PromiseDuration: span.Of(time.Second)},
+		{ReplyTimestamp: now.UnixNano(), PromiseDuration: span.Of(1000 * time.Hour)},
+		{ReplyTimestamp: now.UnixNano(), PromiseDuration: -1},
+		{ReplyTimestamp: -1 << 63, PromiseDuration: 1<<63 - 1},
+	} {
+		received := promise.Received{Incarnation: holder}
+		hello.Member, hello.HolderIncarnation = election.Member{Node: "p"}, holder
+		received.RecordHello(now, hello)
+		until, ok := received.Until(now, nil, false)
+		require.True(t, !ok || !until.After(now.Add(promise.ExtendedDuration)), "%v", until)
+	}
+}
--- a/core/promise/received.go
+++ b/core/promise/received.go
@@ -36,9 +36,10 @@
 		r.peers = map[string]entry{}
 	}
 	e := entry{member: hello.Member, helloAt: now, cells: hello.Cells, listed: hello.StandbyOnly, until: r.peers[hello.Node].until}
-	if hello.HolderIncarnation == r.Incarnation && hello.ReplyTimestamp != 0 {
-		validFor := hello.PromiseDuration.Duration()
-		if end := time.Unix(0, hello.ReplyTimestamp).Add(validFor - validFor/driftDivisor); end.After(e.until) {
+	repliedAt := time.Unix(0, hello.ReplyTimestamp)
+	if hello.HolderIncarnation == r.Incarnation && hello.ReplyTimestamp != 0 && !repliedAt.After(now) {
+		validFor := min(max(hello.PromiseDuration.Duration(), 0), ExtendedDuration) // a longer one was never given
+		if end := repliedAt.Add(validFor - validFor/driftDivisor); end.After(e.until) {
 			e.until = end
 		}
 	}
--- a/core/proxy/hello.go
+++ b/core/proxy/hello.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"gypsumward/core/election"
 	"gypsumward/core/promise"
 	"gypsumward/core/span"
 )
@@ -117,9 +116,9 @@
 	Epoch int64 `json:"epoch"`
 }
 
-// AnnounceHolder notifies an instance that a former holder has named it as the holder.
-func (p *Proxy) AnnounceHolder(ctx context.Context, n election.Notice) error {
-	return p.Client.Call(ctx, n.Holder.Addr, p.method(methodHolder), n, nil)
+// AnnounceHolder notifies an instance that the row of the holder names it.
+func (p *Proxy) AnnounceHolder(ctx context.Context, addr string) error {
+	return p.Client.Call(ctx, addr, p.method(methodHolder), struct{}{}, nil)
 }
 
 // AnnounceRelease notifies the peers that recently sent a hello message that the holder of
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -79,6 +79,9 @@
 // RegisterMethods registers the methods of the cell that other instances call.
 func (p *Proxy) RegisterMethods(s *peer.Server) {
 	peer.Handle(s, p.method(methodSubmit), func(ctx context.Context, submission cell.Submission) (submitReply, error) {
+		if err := validate(&submission); err != nil {
+			return submitReply{}, &peer.Fault{Ran: api.RanNot, Text: err.Error()}
+		}
 		l, err := p.localLoop()
 		if err != nil {
 			return submitReply{}, err
@@ -117,16 +120,28 @@
 		return queryReply{Count: v}, toFault(err)
 	})
 	peer.Handle(s, p.method(methodHello), p.handleHello)
-	peer.Handle(s, p.method(methodHolder), func(_ context.Context, n election.Notice) (struct{}, error) {
-		p.Elector.ApplyNotice(n)
-		return struct{}{}, nil
+	peer.Handle(s, p.method(methodHolder), func(ctx context.Context, _ struct{}) (struct{}, error) {
+		return struct{}{}, p.Elector.Lookup(ctx) // the message itself proves nothing
 	})
 	peer.Handle(s, p.method(methodRelease), func(_ context.Context, r release) (struct{}, error) {
-		p.Elector.Released(r.Epoch)
+		if _, epoch, _ := p.Elector.Holder(); epoch == r.Epoch {
+			p.Elector.Released(r.Epoch)
+		}
 		return struct{}{}, nil
 	})
 }
 
+// maxAge is the longest time since the first submission of a job that a peer may state.
+const maxAge = time.Hour
+
+// validate returns an error if a submission of a peer is malformed.
+func validate(submission *cell.Submission) error {
+	if age := submission.AgeMS; age < 0 || age > maxAge.Milliseconds() {
+		return errors.Errorf("age of %d ms", age)
+	}
+	return submission.Job.Validate()
+}
+
 // method returns the name of a method of the cell of p.
 func (p *Proxy) method(name string) string {
 	return name + "/" + p.Cell
--- a/core/table/memstore/store.go
+++ b/core/table/memstore/store.go
@@ -26,6 +26,13 @@
 	writes  int
 }
 
+// SetVersion raises the version of the store to at least version.
+func (s *Store) SetVersion(version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version = max(s.version, version)
+}
+
 // SetDown sets whether all calls fail without effect.
 func (s *Store) SetDown(down bool) {
 	s.mu.Lock()
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -214,7 +215,7 @@
 		return
 	}
 	h.plan.Store(&plan)
-	peers := &peer.Server{Addr: h.self.Addr, Clock: h.client.Clock, MaxCalls: maxPeerCalls, DrainTimeout: 100 * time.Millisecond}
+	peers := &peer.Server{Addr: h.self.Addr, Clock: h.client.Clock, MaxCalls: maxPeerCalls, DrainTimeout: 100 * time.Millisecond, OnPanic: h.panicked}
 	var participants []*participant
 	for i := range plan.Cells {
 		p := h.newParticipant(i, plan.Cells)
@@ -235,6 +236,12 @@
 	h.supervise(ctx)
 }
 
+// panicked counts and logs a panic of the handler of a call between instances.
+func (h *Host) panicked(method string, value any) {
+	h.metrics.Count("panic", 1)
+	_ = h.log.Log("event", "panic", "duty", method, "value", fmt.Sprint(value), "stack", string(debug.Stack()))
+}
+
 // followRows starts reading the rows of the operator and of the runners.
 func (h *Host) followRows(ctx context.Context, wg *sync.WaitGroup) {
 	configs := &mirror.Mirror{
--- a/gypsumward/hosted/participant.go
+++ b/gypsumward/hosted/participant.go
@@ -184,7 +184,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	defer cancel()
 	n := p.elector.Notice()
-	err := p.proxy.AnnounceHolder(ctx, n)
+	err := p.proxy.AnnounceHolder(ctx, n.Holder.Addr)
 	_ = p.log.Log("event", "handed", "to", n.Holder.Node, "epoch", n.Epoch, "err", err)
 	p.host.board.Publish(ctx, p.name, n)
 }
