--- a/core/eventloop/loop.go
+++ b/core/eventloop/loop.go
@@ -75,6 +75,8 @@
 	answeringRunners atomic.Int64 // runners in the directory that answer
 	listedRunners    atomic.Int64 // runners in the directory
 	idle             atomic.Bool
+	lag              atomic.Int64 // mean delay of ticks, in nanoseconds
+	startedAt        time.Time
 	calls            sync.WaitGroup
 	ctx              context.Context
 }
@@ -83,7 +85,7 @@
 func New(t election.Term, name string, s cell.Settings, r Runners, st Store, clock Clock, logger log.Logger, metrics cell.Metrics) *Loop {
 	l := &Loop{
 		Term: t, Runners: r, Store: st, Clock: clock,
-		messages: make(chan cell.Message, messageQueueSize), done: make(chan struct{}),
+		messages: make(chan cell.Message, messageQueueSize), done: make(chan struct{}), startedAt: clock.Now(),
 	}
 	l.cell = cell.New(cell.Term{Cell: name, HolderKey: election.Key(name, election.HolderRow), Epoch: t.Epoch, TermNumber: t.Number, PreviousRunners: t.PreviousRunners, PreviousEnd: t.PreviousEnd}, s, clock.Now())
 	l.cell.Log, l.cell.Metrics = logger, metrics
@@ -102,13 +104,17 @@
 	l.calls.Go(func() { l.load(ctx) })
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	lastTick := l.Clock.Now()
 	for !l.cell.Deposed() {
 		select {
 		case m := <-l.messages:
 			m.Apply(l.cell, l.Clock.Now())
 			l.applyQueued()
 		case <-ticker.C:
-			l.cell.Tick(l.Clock.Now())
+			now := l.Clock.Now()
+			l.recordLag(now.Sub(lastTick) - tickInterval)
+			lastTick = now
+			l.cell.Tick(now)
 			l.publish()
 		case <-ctx.Done():
 			l.cell.Depose(l.Clock.Now(), "the context of the term has ended")
@@ -130,6 +136,28 @@
 	}
 }
 
+// recordLag adds the delay of one tick to the moving average.
+func (l *Loop) recordLag(d time.Duration) {
+	mean := l.lag.Load()
+	l.lag.Store(mean + (int64(max(d, 0))-mean)/lagWindow)
+}
+
+// Lag returns by how much the ticks of the loop are late on average: the time for which
+// messages wait because the machine is too slow for the cell. It is zero in the first
+// seconds of a term.
+func (l *Loop) Lag() time.Duration {
+	if l.Clock.Now().Sub(l.startedAt) < lagSettleTime {
+		return 0
+	}
+	return time.Duration(l.lag.Load())
+}
+
+// Averaging of the lag.
+const (
+	lagWindow     = 32 // ticks in the moving average
+	lagSettleTime = 5 * time.Second
+)
+
 // publish updates the figures that other goroutines read.
 func (l *Loop) publish() {
 	l.runnerCount.Store(int64(l.cell.RunnerCount()))
--- a/gypsumward/hosted/standby.go
+++ b/gypsumward/hosted/standby.go
@@ -90,19 +90,27 @@
 }
 
 // balance hands one cell over if this instance holds several and a standby of one would
-// have fewer cells for its cores.
+// have fewer cells for its cores, or if this machine is too slow for a cell and a standby
+// holds none.
 func (h *Host) balance(now time.Time) {
 	held := h.cellsHeld()
-	if h.draining.Load() || held < 2 || now.Before(h.balanceAt) {
+	if h.draining.Load() || held == 0 || now.Before(h.balanceAt) {
 		return
 	}
 	h.balanceAt = now.Add(balanceInterval)
 	for _, p := range h.participants() {
+		l := p.proxy.CurrentLoop()
 		successor, cells, ok := p.proxy.Successor()
-		if !ok || promise.CellsPerCore(cells+1, successor.Cores) >= promise.CellsPerCore(held, h.self.Cores) {
+		if l == nil || !ok {
 			continue
 		}
-		if l := p.proxy.CurrentLoop(); l != nil && p.arranging.CompareAndSwap(false, true) {
+		crowded := held > 1 && promise.CellsPerCore(cells+1, successor.Cores) < promise.CellsPerCore(held, h.self.Cores)
+		lag := l.Lag()
+		if !crowded && (lag < maxLag || cells > 0) {
+			continue
+		}
+		if p.arranging.CompareAndSwap(false, true) {
+			_ = p.log.Log("event", "balance", "to", successor.Node, "held", held, "cells", cells, "lag", lag)
 			go func() {
 				defer p.arranging.Store(false)
 				p.giveUp(l, successor)
@@ -112,6 +120,9 @@
 	}
 }
 
+// maxLag is the lag of the loop of a cell from which on the machine is too slow for it.
+const maxLag = 40 * time.Millisecond
+
 // update starts or ends the competition of this instance for the cell, and looks after the
 // standbys of the cell if this instance holds it.
 func (p *participant) update(ctx context.Context, now time.Time) {
