election: no promise while a claim may still take effect, no claim after a promise

Found on the operators' list (a permission that had run out meanwhile): a standby checked its promise when it decided to take over, waited its turn, and claimed although it had promised again in between; and after a claim whose answer was lost it promised although the store may carry the claim out seconds later. A holder that is cut off from the store only then counts on that promise while the claim makes another instance the holder. TestPromiseBeforeClaim and TestPromiseAfterClaim failed first (a term began within the promise; a promise was given beside an open claim).

Changes: the promise is checked again, under the lock under which promises are given, right before a claim is sent; from then on none is given until the rows that the claim depends on have changed.

--- /dev/null
+++ b/core/election/claim_test.go
@@ -0,0 +1,73 @@
+package election_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// cutPair returns a holder that is cut off from the store and the other of two members.
+func cutPair(t *testing.T, delay time.Duration) (c *cluster, holder, other *member) {
+	t.Helper()
+	c = newCluster(t, "a", "b")
+	time.Sleep(3 * time.Second)
+	holder = c.holder(t)
+	for _, m := range c.members {
+		if m != holder {
+			other = m
+		}
+	}
+	other.mu.Lock()
+	other.delay = delay
+	other.mu.Unlock()
+	c.setUnreachable(holder.name, true)
+	return c, holder, other
+}
+
+// TestPromiseBeforeClaim lets an instance promise not to take over after it has decided to
+// claim the cell and before it sends the claim, as a paused process may. It must keep the
+// promise.
+func TestPromiseBeforeClaim(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		_, _, other := cutPair(t, 2*time.Second)
+		time.Sleep(2500 * time.Millisecond) // decided after 1.5 s, claims after 3.5 s
+		for range 10 {
+			require.True(t, other.offer())
+			time.Sleep(200 * time.Millisecond)
+			require.Empty(t, other.terms())
+		}
+		time.Sleep(4 * time.Second)
+		require.Len(t, other.terms(), 1, "once the promise has expired")
+	})
+}
+
+// TestPromiseAfterClaim lets the store carry a claim out late, without an answer. Until it
+// is certain that the claim can have no effect, the instance must promise nothing.
+func TestPromiseAfterClaim(t *testing.T) {
+	t.Parallel()
+	for _, healed := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c, holder, other := cutPair(t, 0)
+			c.store.mu.Lock()
+			c.store.late[other.name] = 2 * time.Second
+			c.store.mu.Unlock()
+			time.Sleep(2 * time.Second) // claims after 1.5 s
+			require.False(t, other.offer())
+			if healed {
+				c.setUnreachable(holder.name, false)
+				time.Sleep(time.Second) // the holder writes a heartbeat, on which the claim is conditional
+				require.True(t, other.offer())
+				time.Sleep(5 * time.Second)
+				require.Same(t, holder, c.holder(t))
+				return
+			}
+			for other.leads() == false {
+				require.False(t, other.offer())
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+	}
+}
--- a/core/election/elector.go
+++ b/core/election/elector.go
@@ -73,11 +73,12 @@
 	watchHealthySince time.Time // start of the period without failed store reads; zero after a failure
 	loaded            bool      // all rows have been read once
 	standbys          standbys
-	releasedEpoch     int64     // epoch of a holder that has given the cell up; zero if none has
-	holderRunners     int       // runners that the holder last reported, by a heartbeat or in reply to a hello message
-	previousEnd       time.Time // end of the lease of the holder that this instance is replacing; zero if not known
-	lastWritten       time.Time // when the last heartbeat of this instance that was written was sent
-	term              Term      // of this instance, if leading
+	releasedEpoch     int64        // epoch of a holder that has given the cell up; zero if none has
+	holderRunners     int          // runners that the holder last reported, by a heartbeat or in reply to a hello message
+	openClaim         *rowVersions // of a claim whose outcome is not known; nil if there is none
+	previousEnd       time.Time    // end of the lease of the holder that this instance is replacing; zero if not known
+	lastWritten       time.Time    // when the last heartbeat of this instance that was written was sent
+	term              Term         // of this instance, if leading
 	leading           bool
 	retired           bool // this instance no longer takes over
 	heartbeatNumber   int64
--- a/core/election/elector_test.go
+++ b/core/election/elector_test.go
@@ -21,11 +21,12 @@
 	rows        map[string]table.Row
 	version     int64
 	changed     chan struct{}
-	unreachable map[string]bool // names of members, or "all"
+	unreachable map[string]bool          // names of members, or "all"
+	late        map[string]time.Duration // by member: how late writes take effect, without an answer
 }
 
 func newStore() *store {
-	return &store{rows: map[string]table.Row{}, changed: make(chan struct{}), unreachable: map[string]bool{}}
+	return &store{rows: map[string]table.Row{}, changed: make(chan struct{}), unreachable: map[string]bool{}, late: map[string]time.Duration{}}
 }
 
 // memberStore is the store as one member reaches it.
@@ -52,6 +53,19 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if d := s.late[s.name]; d > 0 {
+		time.AfterFunc(d, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.apply(w)
+		})
+		return table.Written{}, errDown
+	}
+	return s.apply(w), nil
+}
+
+// apply executes a write. The caller holds the lock.
+func (s *store) apply(w table.Write) table.Written {
 	var conflict []table.Row
 	for _, op := range w.Ops {
 		row := s.rows[op.Key]
@@ -61,7 +75,7 @@
 		}
 	}
 	if len(conflict) > 0 {
-		return table.Written{Conflicts: conflict}, nil
+		return table.Written{Conflicts: conflict}
 	}
 	s.version++
 	for _, op := range w.Ops {
@@ -71,7 +85,7 @@
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return table.Written{Committed: true, Version: s.version}, nil
+	return table.Written{Committed: true, Version: s.version}
 }
 
 func (s memberStore) since(prefix string, after int64) table.Found {
@@ -128,7 +142,8 @@
 	begunTerms []election.Term
 	endReasons []string
 	leaseUntil time.Time
-	promisedAt time.Time // time of the latest promise
+	promisedAt time.Time     // time of the latest promise
+	delay      time.Duration // before a claim
 }
 
 func (m *member) BeginTerm(t election.Term) {
@@ -162,6 +177,18 @@
 	m.promisedAt = time.Now()
 }
 
+// claimDelay returns the delay before a claim.
+func (m *member) claimDelay() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.delay
+}
+
+// offer makes the member promise if it may. It reports whether it did.
+func (m *member) offer() bool {
+	return m.elector.Promise(m.promise)
+}
+
 // terms returns the terms that the member has begun.
 func (m *member) terms() []election.Term {
 	m.mu.Lock()
@@ -245,7 +272,7 @@
 		defer c.store.mu.Unlock()
 		return c.refusing[addr]
 	}
-	e.PromisedUntil = m.promisedUntil
+	e.PromisedUntil, e.ClaimDelay = m.promisedUntil, m.claimDelay
 	if c.standbys != nil {
 		e.ChooseStandbys = func(holder election.Member) []string { return c.standbys(holder.Node) }
 	}
--- a/core/election/standbys.go
+++ b/core/election/standbys.go
@@ -125,3 +125,31 @@
 	defer e.mu.Unlock()
 	e.releasedEpoch = max(e.releasedEpoch, epoch)
 }
+
+// Promise calls record, which records a promise not to take over, unless a claim of this
+// instance may still take effect. It reports whether it did.
+func (e *Elector) Promise(record func()) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.openClaim != nil && *e.openClaim == e.versions() {
+		return false
+	}
+	e.openClaim = nil
+	record()
+	return true
+}
+
+// beginClaim reports whether this instance may claim the cell: it has promised nothing since
+// the decision, unless the holder has ended, and the rows are unchanged. From then on it
+// promises nothing until the claim can have no effect any more, since the store may carry
+// it out late.
+func (e *Elector) beginClaim(seen rowVersions) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ended := seen.holder == 0 || e.holder.Node == e.Self.Node || e.releasedEpoch == seen.holder
+	if e.versions() != seen || (!ended && !e.Clock.Now().After(e.PromisedUntil())) {
+		return false
+	}
+	e.openClaim = &seen
+	return true
+}
--- a/core/election/takeover.go
+++ b/core/election/takeover.go
@@ -51,7 +51,7 @@
 				reason = "no heartbeat and connections to the holder are refused"
 			}
 		}
-		if reason != "" && e.awaitClaimTurn(ctx, seen) {
+		if reason != "" && e.awaitClaimTurn(ctx, seen) && e.beginClaim(seen) {
 			previousEnd := time.Time{}
 			if seen.holder != 0 {
 				// If no heartbeat was written since lastHeartbeat, the lease ended by then.
--- a/core/proxy/hello.go
+++ b/core/proxy/hello.go
@@ -84,19 +84,24 @@
 	}
 	p.recordCall(true)
 	p.Elector.ReportHeartbeat(reply.Heartbeat, reply.HeartbeatVersion)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.granted.RecordReply(p.Clock.Now(), reply)
+	p.Elector.Promise(func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.granted.RecordReply(p.Clock.Now(), reply)
+	})
 }
 
 // Leave promises the holder for as long as possible not to take over, since this instance
 // shuts down. The elector must have stopped claiming.
 func (p *Proxy) Leave(ctx context.Context) {
-	p.mu.Lock()
-	p.granted.Leave()
-	exchanging := p.exchanging
-	p.mu.Unlock()
-	if exchanging {
+	exchanging := false
+	promised := p.Elector.Promise(func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.granted.Leave()
+		exchanging = p.exchanging
+	})
+	if promised && exchanging {
 		p.sendHello(ctx)
 	}
 }
--- a/gypsumward/hosted/participant.go
+++ b/gypsumward/hosted/participant.go
@@ -30,7 +30,7 @@
 	running   sync.WaitGroup
 	lookupAt  time.Time   // earliest time of the next look at the rows of a cell whose holder does not answer
 	probing   atomic.Bool // a probe of the holder is in flight
-	arranging atomic.Bool // arrangeStandbys is running
+	changing  atomic.Bool // standbys are being replaced or the cell is being handed over
 
 	mu           sync.Mutex
 	standbysFrom time.Time            // when the standbys were last chosen
--- a/gypsumward/hosted/standby.go
+++ b/gypsumward/hosted/standby.go
@@ -109,10 +109,10 @@
 		if !crowded && (lag < maxLag || cells > 0) {
 			continue
 		}
-		if p.arranging.CompareAndSwap(false, true) {
+		if p.changing.CompareAndSwap(false, true) {
 			_ = p.log.Log("event", "balance", "to", successor.Node, "held", held, "cells", cells, "lag", lag)
 			go func() {
-				defer p.arranging.Store(false)
+				defer p.changing.Store(false)
 				p.giveUp(l, successor)
 			}()
 			return
@@ -137,9 +137,9 @@
 		p.stop = nil
 		_ = p.log.Log("event", "outside")
 	}
-	if holds && !p.host.draining.Load() && p.arranging.CompareAndSwap(false, true) {
+	if holds && !p.host.draining.Load() && p.changing.CompareAndSwap(false, true) {
 		go func() {
-			defer p.arranging.Store(false)
+			defer p.changing.Store(false)
 			p.arrangeStandbys(ctx, now)
 		}()
 	}
