--- a/core/election/doc.go
+++ b/core/election/doc.go
@@ -9,13 +9,14 @@
 // promised not to take over. A further row, written with each claim, names a few standbys:
 // only they, and the node of the holder itself, take over soon, and only their promises
 // are needed. An instance that is no standby takes over when the holder and all standbys
-// have been silent for so long that no promise can extend the lease any more. An instance
-// takes over when it has seen no new heartbeat
-// for longer than the lease and its own promise has expired: earlier if connections to
-// the holder's address are refused, later if the holder is merely silent. The claim is
-// conditional on no heartbeat having been written since the decision, and an instance
-// gives no promise while a claim of its own may still take effect. The terms of two
-// holders therefore never overlap, whatever the cause of the takeover.
+// have been silent for so long that no promise can extend the lease any more.
+//
+// An instance takes over when it has seen no new heartbeat for longer than the lease and
+// its own promise has expired: earlier if connections to the holder's address are refused
+// or the holder answers no hello messages, later if only its heartbeats are missing. The
+// claim is conditional on no heartbeat having been written since the decision, and an
+// instance gives no promise while a claim of its own may still take effect. The terms of
+// two holders therefore never overlap, whatever the cause of the takeover.
 //
 // Instances that compete for a cell watch its rows; the others learn the holder from a
 // Notice.
--- a/gypsumward/hosted/participant.go
+++ b/gypsumward/hosted/participant.go
@@ -26,11 +26,11 @@
 	joined  time.Time     // when the plan became known
 	delay   time.Duration // after joined until this instance competes for a cell without holder
 
-	stop      context.CancelFunc // ends the competition; nil while this instance takes no part in it
-	running   sync.WaitGroup
-	lookupAt  time.Time   // earliest time of the next look at the rows of a cell whose holder does not answer
-	probing   atomic.Bool // a probe of the holder is in flight
-	changing  atomic.Bool // standbys are being replaced or the cell is being handed over
+	stop     context.CancelFunc // ends the competition; nil while this instance takes no part in it
+	running  sync.WaitGroup
+	lookupAt time.Time   // earliest time of the next look at the rows of a cell whose holder does not answer
+	probing  atomic.Bool // a probe of the holder is in flight
+	changing atomic.Bool // standbys are being replaced or the cell is being handed over
 
 	mu           sync.Mutex
 	standbysFrom time.Time            // when the standbys were last chosen
