--- a/core/election/takeover.go
+++ b/core/election/takeover.go
@@ -12,56 +12,101 @@
 // takeOver claims the cell whenever it has no holder, the holder is a previous
 // incarnation of this instance, or the holder has failed.
 func (e *Elector) takeOver(ctx context.Context) {
-	lastProbe, refusedSince := time.Time{}, time.Time{}
+	var p prober
 	for ctx.Err() == nil {
 		monotonic.Sleep(ctx, takeoverCheckInterval)
-		promisedUntil := e.PromisedUntil()
-		now := e.Clock.Now()
-		e.mu.Lock()
-		ineligible := !e.loaded || e.leading || e.retired
-		holder, lastHeartbeat := e.holder, e.lastHeartbeat
-		seen := e.versions()
-		standby := e.isStandby()
-		released := e.releasedEpoch == seen.holder
-		silent := e.holderSilent(now, standby) && now.After(promisedUntil)
-		e.mu.Unlock()
-		if ineligible {
+		s, ok := e.situation()
+		if !ok {
 			continue
 		}
-		reason := ""
-		switch {
-		case seen.holder == 0 || holder.Incarnation == "":
-			reason = "the cell has no holder"
-		case holder.Node == e.Self.Node:
-			reason = "the holder was a previous incarnation of this instance"
-		case released && standby:
-			reason = "the holder has given the cell up"
-		case silent:
-			reason = "no heartbeat"
-		case standby && !e.reachesHolder() && now.Sub(lastProbe) >= e.Settings.ProbeInterval:
-			lastProbe = now
-			switch {
-			case !e.ConnectionRefused(ctx, holder.Addr):
-				refusedSince = time.Time{}
-			case refusedSince.IsZero() || lastHeartbeat.After(refusedSince):
-				refusedSince = now
-			case now.Sub(lastHeartbeat) > e.Settings.RefusedTimeout && now.After(promisedUntil):
-				// A cut link may also refuse connections, so the holder may still be alive; but
-				// its lease has expired.
-				reason = "no heartbeat and connections to the holder are refused"
-			}
+		reason := s.reason()
+		if reason == "" && s.standby && !e.reachesHolder() && p.refused(ctx, e, s) {
+			// A cut link may also refuse connections, so the holder may still be alive; but
+			// its lease has expired.
+			reason = "no heartbeat and connections to the holder are refused"
 		}
-		if reason != "" && e.awaitClaimTurn(ctx, seen) && e.beginClaim(seen) {
-			previousEnd := time.Time{}
-			if seen.holder != 0 {
-				// If no heartbeat was written since lastHeartbeat, the lease ended by then.
-				previousEnd = latest(lastHeartbeat.Add(e.Settings.LeaseDuration), promisedUntil)
-			}
-			e.claim(ctx, seen, holder.TermNumber+1, previousEnd, reason)
+		if reason != "" && e.awaitClaimTurn(ctx, s.seen) && e.beginClaim(s.seen) {
+			e.claim(ctx, s.seen, s.holder.TermNumber+1, s.previousEnd(e.Settings.LeaseDuration), reason)
 		}
 	}
 }
 
+// situation is what a decision to take over is based on.
+type situation struct {
+	now           time.Time
+	self          Member
+	holder        Holder
+	seen          rowVersions
+	standby       bool
+	released      bool // the holder has ended its term by itself
+	silent        bool // no heartbeat for long
+	lastHeartbeat time.Time
+	promisedUntil time.Time
+}
+
+// situation returns the current situation. Ok is false if this instance must not take over
+// or does not know the rows yet.
+func (e *Elector) situation() (s situation, ok bool) {
+	promisedUntil := e.PromisedUntil()
+	now := e.Clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	standby := e.isStandby()
+	return situation{
+		now: now, self: e.Self, holder: e.holder, seen: e.versions(), standby: standby, released: e.releasedEpoch == e.holderVersion,
+		silent: e.holderSilent(now, standby), lastHeartbeat: e.lastHeartbeat, promisedUntil: promisedUntil,
+	}, e.loaded && !e.leading && !e.retired
+}
+
+// reason returns why this instance may take over, or an empty string. Probes of the holder's
+// address are not considered.
+func (s situation) reason() string {
+	switch {
+	case s.seen.holder == 0 || s.holder.Incarnation == "":
+		return "the cell has no holder"
+	case s.holder.Node == s.self.Node:
+		return "the holder was a previous incarnation of this instance"
+	case s.released && s.standby:
+		return "the holder has given the cell up"
+	case s.silent && s.now.After(s.promisedUntil):
+		return "no heartbeat"
+	}
+	return ""
+}
+
+// previousEnd returns when the lease of the holder has expired, provided that no heartbeat
+// was written since the last one seen; zero if there is no holder.
+func (s situation) previousEnd(lease time.Duration) time.Time {
+	if s.seen.holder == 0 {
+		return time.Time{}
+	}
+	return latest(s.lastHeartbeat.Add(lease), s.promisedUntil)
+}
+
+// prober probes the address of the holder.
+type prober struct {
+	last         time.Time
+	refusedSince time.Time // zero unless the last probe was refused
+}
+
+// refused probes the holder's address, at most once per ProbeInterval. It reports whether
+// connections are refused, no heartbeat came meanwhile and its lease has expired.
+func (p *prober) refused(ctx context.Context, e *Elector, s situation) bool {
+	if s.now.Sub(p.last) < e.Settings.ProbeInterval {
+		return false
+	}
+	p.last = s.now
+	switch {
+	case !e.ConnectionRefused(ctx, s.holder.Addr):
+		p.refusedSince = time.Time{}
+	case p.refusedSince.IsZero() || s.lastHeartbeat.After(p.refusedSince):
+		p.refusedSince = s.now
+	default:
+		return s.now.Sub(s.lastHeartbeat) > e.Settings.RefusedTimeout && s.now.After(s.promisedUntil)
+	}
+	return false
+}
+
 // rowVersions are the versions of the rows that a decision to take over is based on.
 type rowVersions struct{ holder, heartbeat, standbys int64 }
 
