election, eventloop, hosted: silent and slow holders are replaced sooner

A holder six times slower kept its cell for four seconds: the lag was averaged over too many ticks and looked at each 2 s only.

Changes: a heartbeat states when it was sent on the holder's clock, and the last reply to a hello message relates the clocks, so the time without heartbeat counts from when it was sent; a row older than a reported heartbeat is ignored (TestReportedHeartbeats).

--- a/core/election/claim_test.go
+++ b/core/election/claim_test.go
@@ -71,3 +71,41 @@
 		})
 	}
 }
+
+// TestReportedHeartbeats reports heartbeats out of order and with clocks that differ. The
+// time without heartbeat must never count from before the last one that may have been
+// written was sent.
+func TestReportedHeartbeats(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{store: newStore(), members: map[string]*member{}, refusing: map[string]bool{}, unanswered: true}
+		c.startAll(t, []string{"a", "b"})
+		time.Sleep(3 * time.Second)
+		holder := c.holder(t)
+		other := c.members["a"]
+		if other == holder {
+			other = c.members["b"]
+		}
+		offset := int64(987654321)
+		var sent time.Time
+		for range 5 {
+			time.Sleep(300 * time.Millisecond)
+			b, version, age := holder.elector.LastHeartbeat()
+			sent = time.Now().Add(-age)
+			older := b
+			older.Sent -= int64(time.Second)
+			b.Sent += offset
+			time.Sleep(20 * time.Millisecond) // on its way
+			other.elector.ReportHeartbeat(b, version, time.Now().Add(-20*time.Millisecond).UnixNano()+offset)
+			other.elector.ReportHeartbeat(older, version-1, time.Now().UnixNano())
+		}
+		holder.stop()
+		c.refuseConnections("")
+		for len(other.terms()) == 0 {
+			time.Sleep(5 * time.Millisecond)
+			require.Less(t, time.Since(sent), 3*time.Second)
+		}
+		require.False(t, holder.holdsLease(), "the lease of the holder is valid")
+		require.Less(t, time.Since(sent), 1500*time.Millisecond)
+	})
+}
--- a/core/election/elector.go
+++ b/core/election/elector.go
@@ -73,8 +73,9 @@
 	watchHealthySince time.Time // start of the period without failed store reads; zero after a failure
 	loaded            bool      // all rows have been read once
 	standbys          standbys
-	releasedEpoch     int64        // epoch of a holder that has given the cell up; zero if none has
-	holderRunners     int          // runners that the holder last reported, by a heartbeat or in reply to a hello message
+	releasedEpoch     int64 // epoch of a holder that has given the cell up; zero if none has
+	holderRunners     int   // runners that the holder last reported, by a heartbeat or in reply to a hello message
+	holderClock       clockReading
 	openClaim         *rowVersions // of a claim whose outcome is not known; nil if there is none
 	previousEnd       time.Time    // end of the lease of the holder that this instance is replacing; zero if not known
 	lastWritten       time.Time    // when the last heartbeat of this instance that was written was sent
@@ -183,10 +184,13 @@
 			e.applyHolder(now, r)
 		case e.key(HeartbeatRow):
 			var b Heartbeat
+			if r.Version <= e.heartbeatVersion {
+				continue
+			}
 			if json.Unmarshal(r.Value, &b) == nil && b != e.heartbeat {
-				e.heartbeat, e.lastHeartbeat, e.holderRunners = b, now, b.Runners
+				e.heartbeat, e.lastHeartbeat, e.holderRunners = b, e.sentBy(b, now), b.Runners
 			}
-			e.heartbeatVersion = max(e.heartbeatVersion, r.Version)
+			e.heartbeatVersion = r.Version
 		case e.key(StandbysRow):
 			e.standbys.apply(r)
 		}
@@ -243,7 +247,7 @@
 	runners := e.Leader.Runners()
 	e.mu.Lock()
 	e.heartbeatNumber++
-	b := Heartbeat{Incarnation: e.Self.Incarnation, Number: e.heartbeatNumber, Runners: runners}
+	b := Heartbeat{Incarnation: e.Self.Incarnation, Number: e.heartbeatNumber, Runners: runners, Sent: now.UnixNano()}
 	e.mu.Unlock()
 	limited, cancel := context.WithTimeout(ctx, e.Settings.StoreTimeout)
 	defer cancel()
--- a/core/election/elector_test.go
+++ b/core/election/elector_test.go
@@ -219,11 +219,12 @@
 
 // cluster is a store and the members that use it.
 type cluster struct {
-	store    *store
-	members  map[string]*member
-	refusing map[string]bool              // addresses that refuse connections
-	standbys func(holder string) []string // returns the standbys of a holder; nil if every member is one
-	running  sync.WaitGroup
+	store      *store
+	members    map[string]*member
+	unanswered bool                         // no holder answers hello messages
+	refusing   map[string]bool              // addresses that refuse connections
+	standbys   func(holder string) []string // returns the standbys of a holder; nil if every member is one
+	running    sync.WaitGroup
 }
 
 func newCluster(t *testing.T, names ...string) *cluster {
@@ -235,6 +236,13 @@
 func newClusterWith(t *testing.T, standbys func(holder string) []string, names ...string) *cluster {
 	t.Helper()
 	c := &cluster{store: newStore(), members: map[string]*member{}, refusing: map[string]bool{}, standbys: standbys}
+	c.startAll(t, names)
+	return c
+}
+
+// startAll starts members that run until the test ends.
+func (c *cluster) startAll(t *testing.T, names []string) {
+	t.Helper()
 	for _, name := range names {
 		c.start(name, name+"@1")
 	}
@@ -244,7 +252,6 @@
 		}
 		c.running.Wait()
 	})
-	return c
 }
 
 // setUnreachable sets whether the store is unreachable for a member, or for "all".
@@ -276,6 +283,9 @@
 	if c.standbys != nil {
 		e.ChooseStandbys = func(holder election.Member) []string { return c.standbys(holder.Node) }
 	}
+	if c.unanswered {
+		e.HolderReachable = func() bool { return false }
+	}
 	m.elector = e
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
--- a/core/election/member.go
+++ b/core/election/member.go
@@ -26,6 +26,9 @@
 	Incarnation string `json:"life"`
 	Number      int64  `json:"number"`
 	Runners     int    `json:"runners"` // runners that the holder can send orders to
+
+	// Sent is when it was sent, in nanoseconds on the clock of the holder; zero if not stated.
+	Sent int64 `json:"sent,omitempty"`
 }
 
 // Term describes the period during which one instance holds a cell.
--- a/core/election/settings.go
+++ b/core/election/settings.go
@@ -8,7 +8,7 @@
 	DefaultLeaseDuration     = 600 * time.Millisecond
 	DefaultRefusedTimeout    = 700 * time.Millisecond
 	DefaultSilentTimeout     = 1200 * time.Millisecond
-	DefaultCutTimeout        = 750 * time.Millisecond
+	DefaultCutTimeout        = 640 * time.Millisecond
 	DefaultStoreTimeout      = 700 * time.Millisecond
 	DefaultWatchWait         = time.Second
 	DefaultProbeInterval     = 100 * time.Millisecond
--- a/core/election/standbys.go
+++ b/core/election/standbys.go
@@ -95,15 +95,42 @@
 	return e.heartbeat, e.heartbeatVersion, max(now.Sub(e.lastWritten), time.Millisecond)
 }
 
+// clockReading relates the clock of a holder to that of this instance: a message that the
+// holder sent at one time had arrived at the other.
+type clockReading struct {
+	incarnation string
+	sent        int64 // in nanoseconds on the clock of the holder
+	arrived     time.Time
+}
+
 // ReportHeartbeat records a heartbeat that the holder has reported as written, with the
-// version of its row, as if the row had been read now.
-func (e *Elector) ReportHeartbeat(b Heartbeat, version int64) {
+// version of its row. Timestamp is when the report was sent, in nanoseconds on the clock of
+// the holder.
+func (e *Elector) ReportHeartbeat(b Heartbeat, version, timestamp int64) {
 	now := e.Clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if version > e.heartbeatVersion && b.Incarnation == e.holder.Incarnation {
-		e.heartbeat, e.lastHeartbeat, e.holderRunners, e.heartbeatVersion = b, now, b.Runners, version
+	if b.Incarnation != e.holder.Incarnation {
+		return
+	}
+	e.holderClock = clockReading{incarnation: b.Incarnation, sent: timestamp, arrived: now}
+	if version > e.heartbeatVersion {
+		e.heartbeat, e.lastHeartbeat, e.holderRunners, e.heartbeatVersion = b, e.sentBy(b, now), b.Runners, version
+	}
+}
+
+// sentBy returns a time by which a heartbeat read at now had certainly been sent: earlier
+// than now if the clock of the holder is known. The caller holds the lock.
+func (e *Elector) sentBy(b Heartbeat, now time.Time) time.Time {
+	r := e.holderClock
+	if b.Sent == 0 || b.Incarnation != r.incarnation {
+		return now
+	}
+	by := r.arrived.Add(time.Duration(b.Sent - r.sent))
+	if by.After(now) {
+		return now
 	}
+	return by
 }
 
 // ExtensionLimit returns the time beyond which promises must not extend the lease of this
--- a/core/eventloop/loop.go
+++ b/core/eventloop/loop.go
@@ -154,7 +154,7 @@
 
 // Averaging of the lag.
 const (
-	lagWindow     = 32 // ticks in the moving average
+	lagWindow     = 12 // ticks in the moving average
 	lagSettleTime = 5 * time.Second
 )
 
--- a/core/proxy/hello.go
+++ b/core/proxy/hello.go
@@ -83,7 +83,7 @@
 		return
 	}
 	p.recordCall(true)
-	p.Elector.ReportHeartbeat(reply.Heartbeat, reply.HeartbeatVersion)
+	p.Elector.ReportHeartbeat(reply.Heartbeat, reply.HeartbeatVersion, reply.Timestamp)
 	p.Elector.Promise(func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
--- a/gypsumward/hosted/standby.go
+++ b/gypsumward/hosted/standby.go
@@ -97,7 +97,6 @@
 	if h.draining.Load() || held == 0 || now.Before(h.balanceAt) {
 		return
 	}
-	h.balanceAt = now.Add(balanceInterval)
 	for _, p := range h.participants() {
 		l := p.proxy.CurrentLoop()
 		successor, cells, ok := p.proxy.Successor()
@@ -110,6 +109,7 @@
 			continue
 		}
 		if p.changing.CompareAndSwap(false, true) {
+			h.balanceAt = now.Add(balanceInterval)
 			_ = p.log.Log("event", "balance", "to", successor.Node, "held", held, "cells", cells, "lag", lag)
 			go func() {
 				defer p.changing.Store(false)
