proxy: a holder whose loop has ended writes no further heartbeats

Cause, found by reading: a cell that is deposed by a runner that has seen a higher token ends its loop, but the elector went on with heartbeats, so nobody took over from a holder without a loop. It now gives the term up.

Tried and dropped: a loop whose ticks are 250 ms late on average ends its term.

--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -227,6 +227,7 @@
 		if p.loop == l {
 			p.loop = nil
 		}
+		go p.Elector.Released(t.Epoch) // no heartbeat without a loop; the elector may hold its lock
 	})
 }
 
