--- a/core/cell/lost_test.go
+++ b/core/cell/lost_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"gypsumward/core/order"
 	"gypsumward/core/work"
 )
 
@@ -100,3 +101,34 @@
 	require.Equal(t, work.Succeeded, w.outcomes[short.ID].State)
 	require.Empty(t, w.violations)
 }
+
+// TestSilentRunner cuts a runner off for a while. Its runs must go on if they outlive the
+// silence; otherwise their tasks start elsewhere, but not before the leases have expired.
+func TestSilentRunner(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		silence time.Duration
+		lapsed  bool
+	}{{300 * time.Millisecond, false}, {3 * time.Second, true}} {
+		w := newWorld(1, 2, 32000)
+		w.takeOver()
+		w.run(time.Second)
+		w.runners["r1"].unfit = true // so that the job starts on the other one
+		j := newJob(1, true, work.Step{Count: 2, CPU: 16000, Estimate: 4000})
+		w.submit(j)
+		w.run(time.Second)
+		require.Len(t, w.runners["r0"].runs, 2)
+		w.runners["r1"].unfit = false
+		w.runners["r0"].unreachable = true
+		w.run(test.silence)
+		w.runners["r0"].unreachable = false
+		w.run(20 * time.Second)
+		require.Equal(t, work.Succeeded, w.outcomes[j.ID].State)
+		require.Empty(t, w.violations)
+		if test.lapsed {
+			require.Equal(t, 2, w.endCounts[order.LeaseExpired])
+		} else {
+			require.Equal(t, map[order.EndReason]int{order.Finished: 2}, w.endCounts, "neither given up nor started again")
+		}
+	}
+}
