--- a/core/election/claim_test.go
+++ b/core/election/claim_test.go
@@ -1,11 +1,16 @@
 package election_test
 
 import (
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"gypsumward/core/election"
+	"gypsumward/core/table"
+	"gypsumward/core/table/memstore"
 )
 
 // cutPair returns a holder that is cut off from the store and the other of two members.
@@ -86,7 +91,7 @@
 		if other == holder {
 			other = c.members["b"]
 		}
-		offset := int64(987654321)
+		offset := -int64(10 * time.Second)
 		var sent time.Time
 		for range 5 {
 			time.Sleep(300 * time.Millisecond)
@@ -98,6 +103,7 @@
 			time.Sleep(20 * time.Millisecond) // on its way
 			other.elector.ReportHeartbeat(b, version, time.Now().Add(-20*time.Millisecond).UnixNano()+offset)
 			other.elector.ReportHeartbeat(older, version-1, time.Now().UnixNano())
+			require.Empty(t, other.terms(), "the holder sends heartbeats")
 		}
 		holder.stop()
 		c.refuseConnections("")
@@ -109,3 +115,27 @@
 		require.Less(t, time.Since(sent), 1500*time.Millisecond)
 	})
 }
+
+// TestOlderHeartbeats reports a heartbeat and then reads and reports an older one. The later
+// one must stay in force.
+func TestOlderHeartbeats(t *testing.T) {
+	t.Parallel()
+	holder := election.Holder{Member: election.Member{Node: "h", Incarnation: "h@1"}, TermNumber: 1}
+	newHeartbeat := func(number int64, runners int) election.Heartbeat {
+		return election.Heartbeat{Incarnation: "h@1", Number: number, Runners: runners}
+	}
+	older, err := json.Marshal(newHeartbeat(3, 3))
+	require.NoError(t, err)
+	s := &memstore.Store{}
+	_, err = s.Write(t.Context(), table.Write{Ops: []table.Op{{Key: election.Key("c0", election.HeartbeatRow), Value: older}}})
+	require.NoError(t, err)
+	e := election.New("c0", election.Settings{})
+	m := &member{elector: e}
+	e.Clock, e.Self, e.Leader, e.Store = clock{}, election.Member{Node: "z", Incarnation: "z@1"}, m, s
+	e.ApplyNotice(election.Notice{Holder: holder, Epoch: 5})
+	e.ReportHeartbeat(newHeartbeat(7, 7), 10, 1)
+	e.ReportHeartbeat(newHeartbeat(3, 3), 9, 1)
+	require.NoError(t, e.Lookup(t.Context()))
+	e.ApplyNotice(election.Notice{Holder: election.Holder{Member: e.Self, TermNumber: 2}, Epoch: 11})
+	require.Equal(t, 7, m.terms()[0].PreviousRunners)
+}
