shard, hosted, overflow, peer: cells of one data centre, and room across cells

(c) A cell that was full or between two holders refused jobs although others had room.

Change: a plan lists cells by data centre, each with a range of ids; one instance, the author in a row of its own, makes it once three reads have shown the same number; data centres with fewer than 3 instances or 32 runners share cells. Holder and standbys of a cell are in its data centre if there are two standbys. Transient jobs go to the cells of the own data centre, those with a holder first, and after a refusal to at most two more. Plans of the former format are read as before; a row that cannot be decoded is waited out instead of being taken for one cell.

Since another cell may now get a job that is sent again, a job must not outlive the instance of its caller: a server cancels the calls of a peer that has sent nothing for 0.9 s, four checks in a row, so that a pause of its own is no silence; peers ping also when they receive but send nothing. The platform sends a job again after 1.3 s.

Ruled out: submitting a job to two cells at once (two runs); the remainder of the id over all cells as before (a cut data centre reaches a fifth of its cells).

--- a/core/cell/orphan_test.go
+++ b/core/cell/orphan_test.go
@@ -81,6 +81,37 @@
 	require.Empty(t, outcomes)
 }
 
+// TestAttemptLost submits a job twice for one caller, as after a lost connection. The job
+// must go on when the first attempt is lost, and end when the caller leaves or both
+// attempts are lost.
+func TestAttemptLost(t *testing.T) {
+	t.Parallel()
+	for name, leave := range map[string]func(c *cell.Cell, now time.Time, id string){
+		"second attempt lost": func(c *cell.Cell, now time.Time, id string) { c.AttemptLost(now, id, "a#2") },
+		"caller left":         func(c *cell.Cell, now time.Time, id string) { c.CallerLeft(now, id, "a#2") },
+		"caller of another instance left, then both attempts lost": func(c *cell.Cell, now time.Time, id string) {
+			c.CallerLeft(now, id, "b#2")
+			c.AttemptLost(now, id, "a#2")
+		},
+	} {
+		w := newWorld(1, 2, 32000)
+		p := w.takeOver()
+		w.run(time.Second)
+		j := newJob(1, true, work.Step{Count: 2, CPU: 14000, Estimate: 60000})
+		w.submitted[j.ID] = j
+		for _, caller := range []string{"a#1", "a#2"} {
+			p.exec(func() { p.cell.Submit(w.now, cell.Submission{Job: *j, Caller: caller}, func(cell.Outcome) {}) })
+		}
+		w.run(time.Second)
+		p.exec(func() { p.cell.AttemptLost(w.now, j.ID, "a#1") })
+		w.run(time.Second)
+		require.Equal(t, 2, len(w.runners["r0"].runs)+len(w.runners["r1"].runs), name)
+		p.exec(func() { leave(p.cell, w.now, j.ID) })
+		w.run(time.Second)
+		require.Zero(t, len(w.runners["r0"].runs)+len(w.runners["r1"].runs), name)
+	}
+}
+
 // TestCancel cancels a job before it is stored, soon after its submission, and while it
 // runs.
 func TestCancel(t *testing.T) {
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"gypsumward/core/work"
@@ -10,11 +11,14 @@
 // Submission is a job as a caller submits it.
 type Submission struct {
 	Job         work.Job `json:"job"`
-	Caller      string   `json:"caller"`          // identifies the waiting caller
+	Caller      string   `json:"caller"`          // identifies the waiting caller, after AttemptSeparator also the attempt
 	Resubmitted bool     `json:"again,omitempty"` // another holder may have received it before
 	AgeMS       int64    `json:"age,omitempty"`   // milliseconds since the caller first submitted it
 }
 
+// AttemptSeparator separates the caller of a submission from the number of its attempt.
+const AttemptSeparator = "#"
+
 // Submit submits a job. It calls reply once with the outcome, possibly before it
 // returns: when a transient job has ended, and when any other job is stored. Submitting
 // a job again attaches the caller to the existing job and yields the same outcome.
@@ -97,14 +101,33 @@
 	}
 }
 
-// CallerLeft records that a caller no longer waits for a job. A transient job without
-// waiting callers is cancelled.
+// CallerLeft records that a caller no longer waits for a job, whatever the attempt. A
+// transient job without waiting callers is cancelled.
 func (c *Cell) CallerLeft(now time.Time, id, caller string) {
+	name := attemptless(caller)
+	c.removeWaiters(now, id, caller, func(w waiter) bool { return attemptless(w.caller) == name })
+}
+
+// AttemptLost records that no caller waits for one attempt of a submission any more. A
+// transient job without waiting callers is cancelled.
+func (c *Cell) AttemptLost(now time.Time, id, caller string) {
+	c.removeWaiters(now, id, caller, func(w waiter) bool { return w.caller == caller })
+}
+
+// attemptless returns the name of a caller without the attempt.
+func attemptless(caller string) string {
+	name, _, _ := strings.Cut(caller, AttemptSeparator)
+	return name
+}
+
+// removeWaiters removes the waiting callers of a job for which gone returns true, and
+// cancels the job if it is transient and none is left.
+func (c *Cell) removeWaiters(now time.Time, id, caller string, gone func(waiter) bool) {
 	j := c.jobs[id]
 	if j == nil || c.deposed {
 		return
 	}
-	j.waiting = slices.DeleteFunc(j.waiting, func(w waiter) bool { return w.caller == caller })
+	j.waiting = slices.DeleteFunc(j.waiting, gone)
 	if j.Transient && len(j.waiting) == 0 && !j.state.Ended() {
 		c.log("event", "left", "job", id, "caller", caller, "begun", j.hasStarted())
 		c.finish(now, j, work.Cancelled)
--- a/core/eventloop/loop.go
+++ b/core/eventloop/loop.go
@@ -320,6 +320,13 @@
 // Leave notifies the cell that a caller of Submit no longer waits.
 func (l *Loop) Leave(id, caller string) { l.Post(leaveMessage{id, caller}) }
 
+// Abandon notifies the cell that nobody waits for one attempt of a submission any more.
+func (l *Loop) Abandon(id, caller string) { l.Post(abandonMessage{id, caller}) }
+
+type abandonMessage struct{ id, caller string }
+
+func (m abandonMessage) Apply(c *cell.Cell, now time.Time) { c.AttemptLost(now, m.id, m.caller) }
+
 type leaveMessage struct{ id, caller string }
 
 func (m leaveMessage) Apply(c *cell.Cell, now time.Time) { c.CallerLeft(now, m.id, m.caller) }
--- /dev/null
+++ b/core/overflow/submitter_test.go
@@ -0,0 +1,112 @@
+package overflow_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gypsumward/core/cell"
+	"gypsumward/core/overflow"
+	"gypsumward/core/work"
+)
+
+// fakeCell is a cell with a fixed outcome after some time.
+type fakeCell struct {
+	clock       *clock
+	unreachable bool
+	takes       time.Duration
+	outcome     cell.Outcome
+	arrived     []time.Time // of the jobs submitted
+}
+
+func (c *fakeCell) Connected() bool { return !c.unreachable }
+
+func (c *fakeCell) Submit(_ context.Context, _ work.Job, arrived time.Time) cell.Outcome {
+	c.arrived = append(c.arrived, arrived)
+	c.clock.now = c.clock.now.Add(c.takes)
+	return c.outcome
+}
+
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+// submit submits a job to cells and returns the outcome and the reasons of the refusals
+// after which it was handed over.
+func submit(ctx context.Context, clock *clock, fakes ...*fakeCell) (cell.Outcome, []string) {
+	var reasons []string
+	s := overflow.Submitter{Clock: clock, OnHandedOver: func(_ work.Job, o cell.Outcome) { reasons = append(reasons, o.Reason) }}
+	var cells []overflow.Cell
+	for _, f := range fakes {
+		f.clock = clock
+		cells = append(cells, f)
+	}
+	return s.Submit(ctx, work.Job{ID: "j"}, cells), reasons
+}
+
+var (
+	full      = cell.Outcome{Verdict: cell.Refused, Reason: cell.ReasonLoad, RetryAfter: 900 * time.Millisecond}
+	nearlyDue = cell.Outcome{Verdict: cell.Refused, Reason: cell.ReasonLease, RetryAfter: 200 * time.Millisecond}
+	done      = cell.Outcome{Verdict: cell.Accepted, State: work.Succeeded}
+)
+
+// TestRoomElsewhere has a cell without capacity beside one with. The job must run in the
+// second one, and its objective counts from its arrival at the first.
+func TestRoomElsewhere(t *testing.T) {
+	t.Parallel()
+	c := &clock{now: time.Unix(100, 0)}
+	first, second := &fakeCell{outcome: full, takes: 30 * time.Millisecond}, &fakeCell{outcome: done}
+	o, reasons := submit(context.Background(), c, first, second)
+	require.Equal(t, done, o)
+	require.Equal(t, []string{cell.ReasonLoad}, reasons)
+	require.Equal(t, []time.Time{time.Unix(100, 0)}, second.arrived)
+}
+
+// TestNeverTwice has first cells that accept, fail or may have the job. No other cell may
+// get it.
+func TestNeverTwice(t *testing.T) {
+	t.Parallel()
+	for _, o := range []cell.Outcome{
+		done, {Verdict: cell.Accepted, State: work.Failed}, {Verdict: cell.OutcomeUnknown, Reason: "holder"}, {Verdict: cell.HandingOver},
+	} {
+		second := &fakeCell{outcome: done}
+		got, _ := submit(context.Background(), &clock{}, &fakeCell{outcome: o}, second)
+		require.Equal(t, o, got)
+		require.Empty(t, second.arrived)
+	}
+}
+
+// TestAllRefuse checks that the caller hears the first reason with the shortest time, after
+// a bounded number of cells.
+func TestAllRefuse(t *testing.T) {
+	t.Parallel()
+	last := &fakeCell{outcome: done}
+	o, reasons := submit(context.Background(), &clock{}, &fakeCell{outcome: full}, &fakeCell{outcome: nearlyDue}, &fakeCell{outcome: full}, last)
+	require.Equal(t, cell.Outcome{Verdict: cell.Refused, Reason: cell.ReasonLoad, RetryAfter: nearlyDue.RetryAfter}, o)
+	require.Len(t, reasons, overflow.MaxCells-1)
+	require.Empty(t, last.arrived)
+}
+
+// TestReachableFirst has a cell whose holder cannot be reached. It is asked last.
+func TestReachableFirst(t *testing.T) {
+	t.Parallel()
+	lost, next := &fakeCell{unreachable: true, outcome: done}, &fakeCell{outcome: done}
+	_, _ = submit(context.Background(), &clock{}, lost, next)
+	require.Empty(t, lost.arrived)
+	next.outcome = full
+	o, _ := submit(context.Background(), &clock{}, lost, next)
+	require.Equal(t, done, o)
+}
+
+// TestCallerGone ends the context during the first refusal.
+func TestCallerGone(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	second := &fakeCell{outcome: done}
+	o, _ := submit(ctx, &clock{}, &fakeCell{outcome: full}, second)
+	require.Equal(t, full, o)
+	require.Empty(t, second.arrived)
+}
--- a/core/peer/bounded.go
+++ b/core/peer/bounded.go
@@ -54,6 +54,7 @@
 	maxMessage   int64         // bytes of one message
 	writeTimeout time.Duration // time for one write
 	lastReceived atomic.Int64  // when bytes were last received, in nanoseconds since 1970
+	lastSent     atomic.Int64  // when bytes were last sent, in nanoseconds since 1970
 
 	readBudget int64 // bytes that may still be read for one message
 }
@@ -85,6 +86,7 @@
 	if err != nil {
 		_ = c.Close()
 	}
+	c.lastSent.Store(time.Now().UnixNano())
 	return n, err
 }
 
--- a/core/peer/conn.go
+++ b/core/peer/conn.go
@@ -150,14 +150,14 @@
 }
 
 // keep reports whether the connection should stay open. While calls are in flight and
-// no data was received for one ping interval, it sends a ping and accepts any response,
-// also an error of the peer.
+// no data was received or none was sent for one ping interval, it sends a ping and accepts
+// any response, also an error of the peer.
 func (c *clientConn) keep(now time.Time) bool {
 	client := c.link.client
 	if len(c.link.slots) == 0 {
 		return now.Sub(time.Unix(0, c.lastUsed.Load())) < client.IdleTimeout
 	}
-	if now.Sub(time.Unix(0, c.bounded.lastReceived.Load())) < client.PingInterval {
+	if oldest := min(c.bounded.lastReceived.Load(), c.bounded.lastSent.Load()); now.Sub(time.Unix(0, oldest)) < client.PingInterval {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), client.PingInterval)
--- a/core/peer/server.go
+++ b/core/peer/server.go
@@ -35,6 +35,11 @@
 	MaxMessage   int64         // bytes of one message; zero means DefaultMaxMessage
 	DrainTimeout time.Duration // time for calls in flight to finish when Run ends; zero means DefaultDrainTimeout
 
+	// CallerTimeout is the time without a byte from a peer, also after the connection was
+	// closed, after which the contexts of its calls in flight are canceled. Zero means that
+	// they are not.
+	CallerTimeout time.Duration
+
 	// OnPanic is called with the method and the value when a handler has panicked. The call
 	// fails and may have had an effect. It may be nil.
 	OnPanic func(method string, value any)
@@ -119,7 +124,9 @@
 		server:   s,
 		slots:    make(chan struct{}, s.MaxCalls),
 		refusals: make(chan struct{}, s.MaxCalls),
+		running:  &sync.WaitGroup{},
 	}
+	ctx, cancel := context.WithCancel(ctx)
 	conn := jsonrpc2.NewConn(ctx, newStream(bounded),
 		handler, jsonrpc2.SetLogger(discardLogger{}))
 	s.conns[conn] = true
@@ -129,6 +136,45 @@
 		defer s.mu.Unlock()
 		delete(s.conns, conn)
 	}()
+	go func() {
+		defer cancel()
+		if s.CallerTimeout > 0 {
+			s.watchCaller(conn, bounded, handler)
+		} else {
+			<-conn.DisconnectNotify()
+			handler.running.Wait()
+		}
+	}()
+}
+
+// silenceChecks is how often in succession a connection must have received nothing until
+// its peer counts as silent. A pause of this process counts as one check.
+const silenceChecks = 4
+
+// watchCaller returns when the peer of conn has been silent for CallerTimeout while calls
+// of it were in flight, or when the connection is closed and no call is in flight.
+func (s *Server) watchCaller(conn *jsonrpc2.Conn, bounded *boundedConn, handler serverHandler) {
+	ticker := time.NewTicker(s.CallerTimeout / silenceChecks)
+	defer ticker.Stop()
+	silent, last := 0, bounded.lastReceived.Load()
+	for range ticker.C {
+		received, busy := bounded.lastReceived.Load(), len(handler.slots) > 0
+		silent++
+		if received != last || !busy {
+			silent, last = 0, received
+		}
+		if silent == silenceChecks {
+			_ = conn.Close()
+			return
+		}
+		select {
+		case <-conn.DisconnectNotify():
+			if !busy {
+				return
+			}
+		default:
+		}
+	}
 }
 
 // drain waits up to DrainTimeout for the calls in flight and closes all connections,
@@ -181,6 +227,7 @@
 	server   *Server
 	slots    chan struct{} // semaphore of the calls in flight
 	refusals chan struct{} // semaphore of the refusals being sent
+	running  *sync.WaitGroup
 }
 
 // Handle starts the handler of a call or refuses the call. Notifications are ignored.
@@ -196,11 +243,11 @@
 		h.refuse(ctx, conn, &jsonrpc2.Response{ID: req.ID, Error: refusal})
 		return
 	}
-	go func() {
+	h.running.Go(func() {
 		defer s.running.Done()
 		defer func() { <-h.slots }()
 		s.serveCall(ctx, conn, req, m)
-	}()
+	})
 }
 
 // refuse sends a refusal without blocking the reader. It closes the connection if
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -87,6 +87,9 @@
 			return submitReply{}, err
 		}
 		o, err := l.Submit(ctx, submission)
+		if ctx.Err() != nil {
+			l.Abandon(submission.Job.ID, submission.Caller)
+		}
 		return newSubmitReply(o), toFault(err)
 	})
 	peer.Handle(s, p.method(methodLeave), func(_ context.Context, notice leaveNotice) (struct{}, error) {
--- a/core/proxy/submit.go
+++ b/core/proxy/submit.go
@@ -11,17 +11,19 @@
 	"gypsumward/core/work"
 )
 
-// Submit submits a job and returns the outcome. It tries one holder after the other until
-// one returns a final outcome or ctx ends. If it gives up while a holder may have the
-// job, it notifies the holder that the caller no longer waits.
-func (p *Proxy) Submit(ctx context.Context, j work.Job) cell.Outcome {
-	submission := cell.Submission{Job: j, Caller: p.Self.Incarnation + "/" + strconv.FormatInt(p.submissions.Add(1), 10)}
+// Submit submits a job that arrived at the given time and returns the outcome. It tries one
+// holder after the other until one returns a final outcome or ctx ends. If it gives up
+// while a holder may have the job, it notifies the holder that the caller no longer waits.
+func (p *Proxy) Submit(ctx context.Context, j work.Job, arrived time.Time) cell.Outcome {
+	submission := cell.Submission{Job: j}
+	caller := p.Self.Incarnation + "/" + strconv.FormatInt(p.submissions.Add(1), 10)
 	began := p.Clock.Now()
 	var err error
-	for {
+	for attempt := 1; ; attempt++ {
 		var o cell.Outcome
 		var maybeHandled bool
-		submission.AgeMS = p.Clock.Now().Sub(began).Milliseconds()
+		submission.AgeMS = p.Clock.Now().Sub(arrived).Milliseconds()
+		submission.Caller = caller + cell.AttemptSeparator + strconv.Itoa(attempt)
 		o, maybeHandled, err = p.submitOnce(ctx, submission)
 		if err == nil && isFinal(o, submission.Resubmitted) {
 			return p.verifyRefusal(ctx, j, o)
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -108,3 +108,12 @@
 	defer r.mu.Unlock()
 	return r.members
 }
+
+// CountByZone returns the number of members by data centre as last read.
+func (r *Roster) CountByZone() map[string]int {
+	counts := map[string]int{}
+	for _, m := range r.Members() {
+		counts[m.Zone]++
+	}
+	return counts
+}
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -1,116 +1,218 @@
 package shard
 
 import (
+	"encoding/json"
 	"hash/fnv"
-	"math"
 	"slices"
 	"strconv"
-	"strings"
+
+	"github.com/juju/errors"
+
+	"gypsumward/core/standby"
 )
 
-// Bounds of a plan.
+// MaxCells is the largest number of cells of a plan.
+const MaxCells = 64
+
+// Formats of a plan, by the value of its row.
 const (
-	RunnersPerCell = 64 // target; exceeded on average only if there are MaxCells cells
-	MaxCells       = 64
+	formatCount = 0 // a number of cells for all data centres, with bounds of the ids of runners
+	formatCells = 2 // a list of cells
 )
 
-// Plan is the division of jobs and runners into cells. The zero value has one cell.
+// errFormat is the error of a plan in a format that this build does not know.
+const errFormat = errors.ConstError("unknown format")
+
+// Plan is the division of runners into cells. The zero value has no cells.
 type Plan struct {
-	Cells int `json:"cells"` // number of cells
-	// Bounds are the highest ids of runners in all cells but the last, in ascending order.
-	// Without them a hash of the id decides on the cell of a runner.
+	Cells []Cell
+	// byRemainder means that the cell of a job is the remainder of a hash of its id, as in
+	// plans of formatCount.
+	byRemainder bool
+}
+
+// Cell is one cell of a plan: runners of one data centre, or of all data centres without
+// cells of their own if Zone is empty.
+type Cell struct {
+	Name string `json:"name"`
+	Zone string `json:"zone,omitempty"`
+	// Through is the highest id of a runner in the cell, After that of the cell before it. The
+	// first and the last cell of a data centre have no lower and no upper bound. If no cell
+	// of a data centre has bounds, a hash of the id decides on the cell of a runner.
+	After   string `json:"after,omitempty"`
+	Through string `json:"through,omitempty"`
+}
+
+// encodedPlan is the value of the row of a plan.
+type encodedPlan struct {
+	Format int    `json:"format,omitempty"`
+	List   []Cell `json:"list,omitempty"`
+
+	// Of formatCount; Count is written by all formats.
+	Count  int      `json:"cells"`
 	Bounds []string `json:"bounds,omitempty"`
 }
 
-// NewPlan returns the plan for the given ids of runners with about perCell runners in each
-// cell, RunnersPerCell if perCell is zero. If the ids are random, so that
-// those of later runners will spread in the same way, each cell gets a range of ids: its
-// holder then reads the rows of its own runners only.
-func NewPlan(runners []string, perCell int) Plan {
-	if perCell <= 0 {
-		perCell = RunnersPerCell
+// MarshalJSON returns the value of the row of p.
+func (p Plan) MarshalJSON() ([]byte, error) {
+	return json.Marshal(encodedPlan{Format: formatCells, List: p.Cells, Count: len(p.Cells)})
+}
+
+// UnmarshalJSON decodes the value of a row. It returns an error and leaves p as it is if the
+// plan is invalid or has a format that is not known.
+func (p *Plan) UnmarshalJSON(data []byte) error {
+	var e encodedPlan
+	if err := json.Unmarshal(data, &e); err != nil {
+		return err
 	}
-	p := Plan{Cells: min(max((len(runners)+perCell-1)/perCell, 1), MaxCells)}
-	if p.Cells == 1 || !random(runners) {
-		return p
+	var decoded Plan
+	switch e.Format {
+	case formatCells:
+		decoded.Cells = e.List
+	case formatCount:
+		if e.Count < 1 || e.Count > MaxCells || (len(e.Bounds) > 0 && len(e.Bounds) != e.Count-1) {
+			return errors.Errorf("%d cells with %d bounds", e.Count, len(e.Bounds))
+		}
+		decoded.byRemainder = true
+		decoded.Cells = newCells("", e.Count, e.Bounds)
+	default:
+		return errFormat
 	}
-	sorted := slices.Sorted(slices.Values(runners))
-	for i := 1; i < p.Cells; i++ {
-		p.Bounds = append(p.Bounds, sorted[i*len(sorted)/p.Cells-1])
+	if err := decoded.validate(); err != nil {
+		return err
 	}
-	return p
+	*p = decoded
+	return nil
 }
 
-// buckets is the number of equal ranges by which ids are tested for randomness, one for
-// each hexadecimal digit.
-const buckets = 16
-
-// random reports whether ids have a common prefix followed by hexadecimal digits of which
-// the first is about evenly distributed.
-func random(ids []string) bool {
-	if len(ids) < 2*buckets {
-		return false
-	}
-	prefix := len(commonPrefix(slices.Min(ids), slices.Max(ids)))
-	var counts [buckets]int
-	for _, id := range ids {
-		digit := strings.IndexByte("0123456789abcdef", id[min(prefix, len(id)-1)])
-		if digit < 0 {
-			return false
+// newCells returns count cells of a data centre, without bounds or with the highest ids of
+// all but the last.
+func newCells(zone string, count int, bounds []string) []Cell {
+	cells := make([]Cell, count)
+	for i := range cells {
+		cells[i].Name, cells[i].Zone = CellName(i), zone
+	}
+	for i, bound := range bounds {
+		cells[i].Through, cells[i+1].After = bound, bound
+	}
+	return cells
+}
+
+// validate returns an error unless the names of the cells differ, are not empty, and the
+// bounds of the cells of each data centre leave no gap.
+func (p Plan) validate() error {
+	if len(p.Cells) < 1 || len(p.Cells) > MaxCells {
+		return errors.Errorf("%d cells", len(p.Cells))
+	}
+	names := map[string]bool{}
+	last := map[string]Cell{} // last cell by data centre
+	for _, c := range p.Cells {
+		if c.Name == "" || names[c.Name] {
+			return errors.Errorf("cell %q twice or without a name", c.Name)
 		}
-		counts[digit]++
+		previous, found := last[c.Zone]
+		hashed := found && previous.Through == ""
+		if c.After != previous.Through || (c.Through != "" && c.Through <= c.After) || (hashed && (c.Through != "" || previous.After != "")) {
+			return errors.Errorf("bounds of cell %q", c.Name)
+		}
+		names[c.Name], last[c.Zone] = true, c
 	}
-	mean := float64(len(ids)) / buckets
-	spread := 4 * math.Sqrt(mean) // of a bucket about its mean, in four standard deviations
-	return float64(slices.Min(counts[:])) >= mean-spread && float64(slices.Max(counts[:])) <= mean+spread && counts[buckets-1] > 0
+	for zone, c := range last {
+		if c.Through != "" {
+			return errors.Errorf("no cell in %q for runners after %q", zone, c.Through)
+		}
+	}
+	return nil
 }
 
-// commonPrefix returns the longest common prefix of a and b.
-func commonPrefix(a, b string) string {
-	n := 0
-	for n < len(a) && n < len(b) && a[n] == b[n] {
-		n++
+// InZone returns the numbers, from 0, of the cells whose runners are in a data centre. They
+// are those without a data centre if it has no cells of its own, else those of the first
+// data centre.
+func (p Plan) InZone(zone string) []int {
+	for _, z := range []string{zone, "", p.Cells[0].Zone} {
+		var numbers []int
+		for i, c := range p.Cells {
+			if c.Zone == z {
+				numbers = append(numbers, i)
+			}
+		}
+		if len(numbers) > 0 {
+			return numbers
+		}
 	}
-	return a[:n]
+	return nil
 }
 
-// valid reports whether p can have been made by NewPlan.
-func (p Plan) valid() bool {
-	return p.Cells >= 1 && p.Cells <= MaxCells && (len(p.Bounds) == 0 || len(p.Bounds) == p.Cells-1) && slices.IsSorted(p.Bounds)
+// CellOfRunner returns the number of the cell to which the runner with the given id in a
+// data centre belongs.
+func (p Plan) CellOfRunner(id, zone string) int {
+	numbers := p.InZone(zone)
+	if last := p.Cells[numbers[len(numbers)-1]]; last.After == "" {
+		return numbers[remainder(id, len(numbers))]
+	}
+	for _, n := range numbers {
+		if c := p.Cells[n]; id > c.After && (c.Through == "" || id <= c.Through) {
+			return n
+		}
+	}
+	return numbers[0] // an empty id
 }
 
-// CellOf returns the number of the cell, from 0, to which the job with the given id
-// belongs.
-func (p Plan) CellOf(id string) int {
-	if p.Cells <= 1 {
-		return 0
+// HomeOf returns the number of the cell to which the job with the given id belongs if it is
+// stored.
+func (p Plan) HomeOf(id string) int {
+	if p.byRemainder {
+		return remainder(id, len(p.Cells))
 	}
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(id))
-	sum := h.Sum64()
-	return int((sum ^ sum>>32) % uint64(p.Cells))
+	return p.prefer(id, p.all())[0]
 }
 
-// CellOfRunner returns the number of the cell to which the runner with the given id
-// belongs.
-func (p Plan) CellOfRunner(id string) int {
-	if len(p.Bounds) == 0 {
-		return p.CellOf(id)
+// Preferred returns the numbers of all cells in the order in which they are asked to run a
+// job that is not stored, submitted in a data centre: those of the data centre first, each
+// group in an order that depends on the id.
+func (p Plan) Preferred(id, zone string) []int {
+	local := p.InZone(zone)
+	others := slices.DeleteFunc(p.all(), func(n int) bool { return slices.Contains(local, n) })
+	if p.byRemainder {
+		first := p.HomeOf(id)
+		return append([]int{first}, p.prefer(id, slices.DeleteFunc(local, func(n int) bool { return n == first }))...)
 	}
-	cell, _ := slices.BinarySearch(p.Bounds, id)
-	return cell
+	return append(p.prefer(id, local), p.prefer(id, others)...)
 }
 
-// RunnerRange returns the bounds of the ids of a cell's runners: those after the one and not
-// after the other. They are empty where there is no bound.
-func (p Plan) RunnerRange(cell int) (after, through string) {
-	if cell > 0 && cell <= len(p.Bounds) {
-		after = p.Bounds[cell-1]
+func (p Plan) all() []int {
+	numbers := make([]int, len(p.Cells))
+	for i := range numbers {
+		numbers[i] = i
 	}
-	if cell < len(p.Bounds) {
-		through = p.Bounds[cell]
+	return numbers
+}
+
+// prefer sorts the numbers of cells by rendezvous hashing, so that a cell which is added
+// changes the order of the others for no id. It returns numbers.
+func (p Plan) prefer(id string, numbers []int) []int {
+	if len(numbers) < 2 {
+		return numbers
+	}
+	weights := make(map[int]float64, len(numbers))
+	for _, n := range numbers {
+		weights[n] = standby.Uniform(id, p.Cells[n].Name)
 	}
-	return after, through
+	slices.SortFunc(numbers, func(a, b int) int {
+		if weights[a] > weights[b] {
+			return -1
+		}
+		return 1
+	})
+	return numbers
+}
+
+// remainder returns a number from 0 to n-1 that depends on the hash of id.
+func remainder(id string, n int) int {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id))
+	sum := h.Sum64()
+	return int((sum ^ sum>>32) % uint64(n))
 }
 
 // CellName returns the name of the cell with the given number.
--- a/core/standby/choose.go
+++ b/core/standby/choose.go
@@ -17,14 +17,14 @@
 // the fewest standbys so far, where the zone of the holder counts one more, so that the
 // loss of a zone leaves one. Within a zone the order is a hash of cell and node weighted by
 // the square of the cores, so that cells spread over the instances that can hold them.
-func Choose(cell string, holder election.Member, members []election.Member, usable func(node string) bool) []string {
+func Choose(cell string, holder election.Member, members []election.Member, usable func(m election.Member) bool) []string {
 	type candidate struct {
 		election.Member
 		rank float64
 	}
 	var candidates []candidate
 	for _, m := range members {
-		if m.Node != holder.Node && usable(m.Node) {
+		if m.Node != holder.Node && usable(m) {
 			candidates = append(candidates, candidate{m, rank(cell, m)})
 		}
 	}
--- a/core/standby/choose_test.go
+++ b/core/standby/choose_test.go
@@ -27,7 +27,7 @@
 	return members
 }
 
-func all(string) bool { return true }
+func all(election.Member) bool { return true }
 
 // TestChooseZones checks that a zone can be lost: the other zones come first, and the
 // holder is not chosen.
@@ -55,7 +55,7 @@
 	reversed := slices.Clone(members)
 	slices.Reverse(reversed)
 	require.Equal(t, chosen, standby.Choose("c1", members[0], reversed, all))
-	without := standby.Choose("c1", members[0], members, func(node string) bool { return node != chosen[1] })
+	without := standby.Choose("c1", members[0], members, func(m election.Member) bool { return m.Node != chosen[1] })
 	kept := 0
 	for _, node := range without {
 		if slices.Contains(chosen, node) {
@@ -73,7 +73,7 @@
 	require.Empty(t, standby.Choose("c", members[0], members[:1], all))
 	require.Equal(t, []string{"b0"}, standby.Choose("c", members[0], members[:2], all))
 	require.Empty(t, standby.Choose("c", members[0], nil, all))
-	require.Empty(t, standby.Choose("c", members[0], members, func(string) bool { return false }))
+	require.Empty(t, standby.Choose("c", members[0], members, func(election.Member) bool { return false }))
 }
 
 // TestChooseSpread checks that over many cells no node is chosen far more often than its
--- a/gypsumward/hosted/directory.go
+++ b/gypsumward/hosted/directory.go
@@ -18,9 +18,10 @@
 // Interval between two reads of the rows of runners. It grows with their number, so that
 // the bytes a second do not.
 const (
-	minRunnersInterval = 400 * time.Millisecond
-	maxRunnersInterval = 3 * time.Second
-	intervalPerRunner  = 8 * time.Millisecond
+	minRunnersInterval  = 400 * time.Millisecond
+	maxRunnersInterval  = 3 * time.Second
+	intervalPerRunner   = 8 * time.Millisecond
+	planRunnersInterval = 700 * time.Millisecond // at most, while this instance makes a plan
 )
 
 // runnersPerMbps is the number of runners whose orders and reports take about half of a
@@ -40,6 +41,7 @@
 type directory struct {
 	log     log.Logger
 	entries atomic.Pointer[[]cell.RunnerInfo] // nil before the first read
+	reads   atomic.Int64                      // number of reads
 }
 
 // apply replaces the runners by those in rows. A row that cannot be decoded names none.
@@ -54,6 +56,7 @@
 		list = append(list, entry)
 	}
 	d.entries.Store(&list)
+	d.reads.Add(1)
 }
 
 // runners returns the runners in order of their ids. The slice must not be changed.
@@ -64,13 +67,13 @@
 	return nil
 }
 
-// ids returns the ids of the runners.
-func (d *directory) ids() []string {
-	var ids []string
+// fleet returns the runners as a plan depends on them, and how often they have been read.
+func (d *directory) fleet() (runners []shard.Runner, reads int) {
+	reads = int(d.reads.Load())
 	for _, entry := range d.runners() {
-		ids = append(ids, entry.ID)
+		runners = append(runners, shard.Runner{ID: entry.ID, Zone: entry.Zone})
 	}
-	return ids
+	return runners, reads
 }
 
 // pollRunners reads the rows of the runners with ids after one and not after another until
@@ -80,7 +83,11 @@
 	p := &mirror.Poller{
 		Store: h.store, Prefix: platform.RunnerPrefix, OnError: h.readFailed("runners"),
 		Interval: func() time.Duration {
-			return min(max(time.Duration(count.Load())*intervalPerRunner, minRunnersInterval), maxRunnersInterval)
+			longest := maxRunnersInterval
+			if h.plan.Load() == nil {
+				longest = planRunnersInterval
+			}
+			return min(max(time.Duration(count.Load())*intervalPerRunner, minRunnersInterval), longest)
 		},
 		OnRows: func(rows []table.Row, whole bool) { count.Store(int64(len(rows))); onRows(rows, whole) },
 	}
@@ -103,12 +110,11 @@
 	}()
 	plan := p.host.plan.Load()
 	d := &directory{log: p.log}
-	after, through := plan.RunnerRange(p.number)
-	p.host.pollRunners(ctx, after, through, func(rows []table.Row, whole bool) {
+	p.host.pollRunners(ctx, p.cell.After, p.cell.Through, func(rows []table.Row, whole bool) {
 		d.apply(rows, whole)
 		var own []cell.RunnerInfo
 		for _, entry := range d.runners() {
-			if plan.CellOfRunner(entry.ID) == p.number {
+			if plan.CellOfRunner(entry.ID, entry.Zone) == p.number {
 				own = append(own, entry)
 			}
 		}
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -45,15 +45,17 @@
 
 // Limits and intervals.
 const (
-	runnerConns    = 8
-	storeConns     = 8
-	maxPeerCalls   = 1024 // in flight to one peer
-	peerHeartbeat  = 300 * time.Millisecond
-	probeTimeout   = 250 * time.Millisecond // of a connection attempt that checks whether an instance listens
-	metricsPort    = "9464"
-	noticeWait     = 4 * time.Second  // time that the store waits for a change of the notices
-	membersHolding = 5 * time.Second  // between two reads of the members while this instance holds a cell
-	membersStandby = 15 * time.Second // while it is a standby
+	runnerConns     = 8
+	storeConns      = 8
+	maxPeerCalls    = 1024 // in flight to one peer
+	peerHeartbeat   = 300 * time.Millisecond
+	callerTimeout   = 900 * time.Millisecond // without a message of the instance of a caller until its jobs are cancelled
+	probeTimeout    = 250 * time.Millisecond // of a connection attempt that checks whether an instance listens
+	metricsPort     = "9464"
+	noticeWait      = 4 * time.Second  // time that the store waits for a change of the notices
+	membersHolding  = 5 * time.Second  // between two reads of the members while this instance holds a cell
+	membersStandby  = 15 * time.Second // while it is a standby
+	membersPlanning = time.Second      // while it makes a plan
 )
 
 // configWaitShare is the share of the time within which a configuration must be in force
@@ -201,28 +203,22 @@
 // joinCells agrees on the plan with the other instances and then takes part in all
 // cells.
 func (h *Host) joinCells(ctx context.Context, wg *sync.WaitGroup) {
-	proposing, stop := context.WithCancel(ctx)
-	defer stop()
-	runners := &directory{log: h.log}
-	agreement := &shard.Agreement{
-		Store: h.store, Runners: runners.ids, Clock: h.clock, Log: h.log, ProposeAfter: h.startDelay("plan"),
-		PerCell:   runnersPerCell(h.settings.Current().LinkMbps),
-		OnPropose: func() { wg.Go(func() { h.pollRunners(proposing, "", "", runners.apply) }) },
-	}
-	plan, ok := agreement.Run(ctx)
-	stop()
+	plan, ok := h.agreePlan(ctx, wg)
 	if !ok {
 		return
 	}
 	h.plan.Store(&plan)
-	peers := &peer.Server{Addr: h.self.Addr, Clock: h.client.Clock, MaxCalls: maxPeerCalls, DrainTimeout: 100 * time.Millisecond, OnPanic: h.panicked}
+	peers := &peer.Server{
+		Addr: h.self.Addr, Clock: h.client.Clock, MaxCalls: maxPeerCalls, DrainTimeout: 100 * time.Millisecond, CallerTimeout: callerTimeout,
+		OnPanic: h.panicked,
+	}
 	var participants []*participant
 	for i := range plan.Cells {
-		p := h.newParticipant(i, plan.Cells)
+		p := h.newParticipant(plan, i)
 		p.proxy.RegisterMethods(peers)
 		participants = append(participants, p)
 	}
-	_ = h.log.Log("event", "seats", "cells", plan.Cells)
+	_ = h.log.Log("event", "seats", "cells", len(plan.Cells))
 	wg.Go(func() {
 		if err := peers.Run(ctx); err != nil {
 			_ = h.log.Log("event", "peers", "err", err)
@@ -236,6 +232,34 @@
 	h.supervise(ctx)
 }
 
+// agreePlan returns the plan that all instances use, and makes one if there is none. Ok is
+// false if ctx ends first.
+func (h *Host) agreePlan(ctx context.Context, wg *sync.WaitGroup) (p shard.Plan, ok bool) {
+	proposing, stop := context.WithCancel(ctx)
+	defer stop()
+	d := &directory{log: h.log}
+	agreement := &shard.Agreement{
+		Store: h.store, Node: h.self.Node, Clock: h.clock, Log: h.log, ProposeAfter: h.startDelay("plan"),
+		Fleet: func() (shard.Fleet, int) {
+			runners, reads := d.fleet()
+			return shard.Fleet{Runners: runners, Instances: h.roster.CountByZone(), PerCell: runnersPerCell(h.settings.Current().LinkMbps)}, reads
+		},
+		OnPropose: func() {
+			wg.Go(func() { h.pollRunners(proposing, "", "", d.apply) })
+			h.requestMembers()
+		},
+	}
+	return agreement.Run(ctx)
+}
+
+// requestMembers makes the roster read the members.
+func (h *Host) requestMembers() {
+	select {
+	case h.readMembers <- struct{}{}:
+	default:
+	}
+}
+
 // panicked counts and logs a panic of the handler of a call between instances.
 func (h *Host) panicked(method string, value any) {
 	h.metrics.Count("panic", 1)
@@ -261,7 +285,10 @@
 
 // membersInterval returns the time between two reads of the members.
 func (h *Host) membersInterval() time.Duration {
-	if h.cellsHeld() > 0 {
+	switch {
+	case h.plan.Load() == nil:
+		return membersPlanning
+	case h.cellsHeld() > 0:
 		return membersHolding
 	}
 	return membersStandby
--- a/gypsumward/hosted/jobservice.go
+++ b/gypsumward/hosted/jobservice.go
@@ -5,12 +5,13 @@
 	"time"
 
 	"gypsumward/core/cell"
+	"gypsumward/core/overflow"
 	"gypsumward/core/proxy"
 	"gypsumward/core/work"
 )
 
-// jobService implements platform.JobService. It passes each call to the proxy of the
-// cell to which the job belongs.
+// jobService implements platform.JobService. It passes each call to the proxies of the
+// cells that may have the job.
 type jobService struct {
 	h *Host
 }
@@ -19,42 +20,76 @@
 // not know the plan yet.
 const planRetryAfter = time.Second
 
-// proxyOf returns the proxy of the cell of a job, or nil if the plan is not known yet.
+// proxyOf returns the proxy of the cell to which a stored job belongs, or nil if the plan
+// is not known yet.
 func (s jobService) proxyOf(id string) *proxy.Proxy {
 	participants := s.h.participants()
 	if participants == nil {
 		return nil
 	}
-	return participants[s.h.plan.Load().CellOf(id)].proxy
+	return participants[s.h.plan.Load().HomeOf(id)].proxy
 }
 
-// Submit submits a job to its cell. It refuses the job if the plan is not known yet.
+// Submit submits a job: one that is stored to the cell to which it belongs, any other to
+// the cells of this data centre first. It refuses the job if the plan is not known yet.
 func (s jobService) Submit(ctx context.Context, j work.Job) cell.Outcome {
 	p := s.proxyOf(j.ID)
 	if p == nil {
 		return cell.Outcome{Verdict: cell.Refused, Reason: proxy.ReasonNoHolder, RetryAfter: planRetryAfter}
 	}
-	return p.Submit(ctx, j)
+	if !j.Transient {
+		return p.Submit(ctx, j, s.h.clock.Now())
+	}
+	participants := s.h.participants()
+	var cells []overflow.Cell
+	for _, n := range s.h.plan.Load().Preferred(j.ID, s.h.self.Zone) {
+		cells = append(cells, participants[n].proxy)
+	}
+	submitter := overflow.Submitter{Clock: s.h.clock, OnHandedOver: s.handedOver}
+	return submitter.Submit(ctx, j, cells)
+}
+
+// handedOver counts and logs a refusal by a cell of a job that another one may run.
+func (s jobService) handedOver(j work.Job, o cell.Outcome) {
+	s.h.metrics.Count("handed_over_"+o.Reason, 1)
+	_ = s.h.log.Log("event", "overflow", "job", j.ID, "queue", j.Queue.Name, "reason", o.Reason)
 }
 
 // Cancel cancels a job. It returns known as false if there is no such job, and
 // proxy.ErrNoHolder if the plan is not known yet.
 func (s jobService) Cancel(ctx context.Context, id string) (state work.State, known bool, err error) {
-	p := s.proxyOf(id)
-	if p == nil {
-		return work.Unknown, false, proxy.ErrNoHolder
-	}
-	return p.Cancel(ctx, id)
+	return s.find(id, func(p *proxy.Proxy) (work.State, bool, error) { return p.Cancel(ctx, id) })
 }
 
 // State returns the state of a job. It returns known as false if there is no such job,
 // and proxy.ErrNoHolder if the plan is not known yet.
 func (s jobService) State(ctx context.Context, id string) (state work.State, known bool, err error) {
-	p := s.proxyOf(id)
-	if p == nil {
+	return s.find(id, func(p *proxy.Proxy) (work.State, bool, error) { return p.State(ctx, id) })
+}
+
+// find calls ask for the cell to which a stored job with the given id belongs, then for
+// those to which this instance would have submitted one that is not stored, until one
+// knows the job or fails.
+func (s jobService) find(id string, ask func(p *proxy.Proxy) (work.State, bool, error)) (state work.State, known bool, err error) {
+	participants := s.h.participants()
+	if participants == nil {
 		return work.Unknown, false, proxy.ErrNoHolder
 	}
-	return p.State(ctx, id)
+	plan := s.h.plan.Load()
+	home := plan.HomeOf(id)
+	preferred := plan.Preferred(id, s.h.self.Zone)
+	numbers := []int{home}
+	for _, n := range preferred[:min(len(preferred), overflow.MaxCells)] {
+		if n != home {
+			numbers = append(numbers, n)
+		}
+	}
+	for _, n := range numbers {
+		if state, known, err = ask(participants[n].proxy); known || err != nil {
+			break
+		}
+	}
+	return state, known, err
 }
 
 // Pending returns the number of jobs of a queue of which no task has started, summed
--- a/gypsumward/hosted/participant.go
+++ b/gypsumward/hosted/participant.go
@@ -19,6 +19,7 @@
 type participant struct {
 	number  int
 	name    string
+	cell    shard.Cell
 	log     log.Logger
 	elector *election.Elector
 	proxy   *proxy.Proxy
@@ -49,12 +50,15 @@
 // holder answers. A standby that it does not answer reads them at once.
 const pollInterval = 10 * time.Second
 
-// newParticipant returns the participant for the cell with the given number out of
-// cells.
-func (h *Host) newParticipant(number, cells int) *participant {
-	p := &participant{number: number, name: shard.CellName(number)}
+// newParticipant returns the participant for the cell with the given number in plan.
+func (h *Host) newParticipant(plan shard.Plan, number int) *participant {
+	c := plan.Cells[number]
+	p := &participant{number: number, name: c.Name, cell: c, host: h, joined: h.clock.Now(), absent: map[string]time.Time{}}
 	p.log = log.With(h.log, "cell", p.name)
-	p.host, p.joined, p.delay, p.absent = h, h.clock.Now(), h.startDelay(p.name)+time.Duration(h.claimOrder(number, cells))*startDelayPerCell, map[string]time.Time{}
+	p.delay = h.startDelay(p.name) + time.Duration(h.claimOrder(plan, number))*startDelayPerCell
+	if !p.local() {
+		p.delay += startDelayRemote
+	}
 	p.elector = election.New(p.name, election.Settings{PollInterval: pollInterval})
 	p.proxy = &proxy.Proxy{
 		Cell: p.name, Self: h.self, Elector: p.elector, Client: h.client, Store: h.store, Clock: h.clock,
@@ -107,17 +111,27 @@
 	return min(d, maxDelay)
 }
 
-// connected reports whether at least half of the cells have a holder that this instance
-// reaches.
+// local reports whether the cell has its runners in the data centre of this instance, or
+// in all of them.
+func (p *participant) local() bool {
+	return p.cell.Zone == "" || p.cell.Zone == p.host.self.Zone
+}
+
+// connected reports whether at least half of the cells to which this instance submits jobs
+// first have a holder that it reaches.
 func (h *Host) connected() bool {
-	reachable := 0
 	participants := h.participants()
-	for _, p := range participants {
-		if p.proxy.Connected() {
+	if participants == nil {
+		return false
+	}
+	reachable := 0
+	first := h.plan.Load().InZone(h.self.Zone)
+	for _, n := range first {
+		if participants[n].proxy.Connected() {
 			reachable++
 		}
 	}
-	return reachable > 0 && 2*reachable >= len(participants)
+	return reachable > 0 && 2*reachable >= len(first)
 }
 
 // leave gives up the part of this instance in the cell, which stops claiming it: a holder
--- a/gypsumward/hosted/standby.go
+++ b/gypsumward/hosted/standby.go
@@ -33,6 +33,7 @@
 	startDelayPerCore = 120 * time.Millisecond // for one core; divided by the number of cores
 	startDelaySpread  = 150 * time.Millisecond
 	startDelayPerCell = 300 * time.Millisecond // for each cell that an instance claims earlier
+	startDelayRemote  = 3 * time.Second        // for a cell of another data centre
 )
 
 // startDelay returns how long this instance waits before it acts for name, a cell or the
@@ -41,13 +42,13 @@
 	return time.Duration(float64(startDelayPerCore)/h.self.Cores + float64(startDelaySpread)*standby.Uniform(name, h.self.Node))
 }
 
-// claimOrder returns the position of a cell in the order in which this instance claims
-// cells without holder. The order differs between instances.
-func (h *Host) claimOrder(cell, cells int) int {
-	own := standby.Uniform(shard.CellName(cell), h.self.Node)
+// claimOrder returns the position of a cell in the order in which this instance claims the
+// cells of one data centre without holder. The order differs between instances.
+func (h *Host) claimOrder(plan shard.Plan, cell int) int {
+	own := standby.Uniform(plan.Cells[cell].Name, h.self.Node)
 	position := 0
-	for i := range cells {
-		if standby.Uniform(shard.CellName(i), h.self.Node) < own {
+	for _, n := range plan.InZone(plan.Cells[cell].Zone) {
+		if standby.Uniform(plan.Cells[n].Name, h.self.Node) < own {
 			position++
 		}
 	}
@@ -90,8 +91,8 @@
 }
 
 // balance hands one cell over if this instance holds several and a standby of one would
-// have fewer cells for its cores, or if this machine is too slow for a cell and a standby
-// holds none.
+// have fewer cells for its cores, if the cell is that of another data centre and a standby
+// is there, or if this machine is too slow for a cell and a standby holds none.
 func (h *Host) balance(now time.Time) {
 	held := h.cellsHeld()
 	if h.draining.Load() || held == 0 || now.Before(h.balanceAt) {
@@ -103,9 +104,10 @@
 		if l == nil || !ok {
 			continue
 		}
+		foreign := !p.local() && successor.Zone == p.cell.Zone
 		crowded := held > 1 && promise.CellsPerCore(cells+1, successor.Cores) < promise.CellsPerCore(held, h.self.Cores)
 		lag := l.Lag()
-		if !crowded && (lag < maxLag || cells > 0) {
+		if !foreign && !crowded && (lag < maxLag || cells > 0) {
 			continue
 		}
 		if p.changing.CompareAndSwap(false, true) {
@@ -154,10 +156,7 @@
 	ctx, p.stop = context.WithCancel(ctx)
 	p.running.Go(func() { p.elector.Run(ctx) })
 	p.running.Go(func() { p.proxy.ExchangeHellos(ctx) })
-	select {
-	case p.host.readMembers <- struct{}{}:
-	default:
-	}
+	p.host.requestMembers()
 }
 
 // concernsSelf reports whether this instance competes for the cell: as its holder or a
@@ -211,14 +210,27 @@
 	}()
 }
 
-// chooseStandbys returns the standbys for the cell under a holder.
+// chooseStandbys returns the standbys for the cell under a holder. A cell of one data centre
+// has all of them there if there are enough instances, so that a data centre that is cut off
+// goes on with its own cells.
 func (p *participant) chooseStandbys(holder election.Member) []string {
 	now := p.host.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return standby.Choose(p.name, holder, p.host.roster.Members(), func(node string) bool { return !now.Before(p.absent[node]) })
+	usable := func(m election.Member) bool { return !now.Before(p.absent[m.Node]) }
+	inZone := func(m election.Member) bool { return usable(m) && m.Zone == p.cell.Zone }
+	if p.cell.Zone != "" && holder.Zone == p.cell.Zone {
+		if chosen := standby.Choose(p.name, holder, p.host.roster.Members(), inZone); len(chosen) >= minLocalStandbys {
+			return chosen
+		}
+	}
+	return standby.Choose(p.name, holder, p.host.roster.Members(), usable)
 }
 
+// minLocalStandbys is the number of standbys in the data centre of a cell without which
+// instances of all data centres are standbys.
+const minLocalStandbys = 2
+
 // setStandbysFrom records when the standbys were chosen.
 func (p *participant) setStandbysFrom(now time.Time) {
 	p.mu.Lock()
