cell, eventloop: looks at overdue runs, slow runs moved, shorter answer timeout

Change: the progress of a run is asked for at 1.25 times its expected time, at half of it on a runner without a recent success, then at growing distances. A run that by its progress ends too late, and much later than a new one on a runner with room, is stopped and done there, once a task. The measured speed replaces the estimate; a sample far from it makes former ones count little. A start is unanswered after 25 ms, or four times the usual; a tick that is late, as after a pause of the process, leaves replies that wait the time of one more tick.

Ruled out: a second run beside the first (only speculative steps may have two). A floor of a quarter for the speed in the limit of stalled runs: without it TestFaults/runner_hangs left a run on a runner that had made no progress.

TestLostPoll (565 ms) and TestTurnsSlow (1,035 ms) failed first.

--- a/core/cell/health.go
+++ b/core/cell/health.go
@@ -18,6 +18,7 @@
 type health struct {
 	consecutiveFailures int // failures since the last success
 	backoffUntil        time.Time
+	successAt           time.Time     // when a run last succeeded
 	meanLatency         time.Duration // moving average of the reply latency
 }
 
@@ -40,8 +41,9 @@
 }
 
 // recordSuccess resets the failure count. A back-off goes on.
-func (h *health) recordSuccess() {
+func (h *health) recordSuccess(now time.Time) {
 	h.consecutiveFailures = 0
+	h.successAt = now
 }
 
 // isBackingOff reports whether the runner gets no work at now because of a failure.
@@ -84,7 +86,7 @@
 	if x.task == nil || reason != order.Finished || x.startAnswered.IsZero() {
 		return
 	}
-	x.runner.health.recordSuccess()
+	x.runner.health.recordSuccess(now)
 	if x.task.spec().LongRunning || x.task.spec().Opportunistic || x.resumed {
 		return
 	}
@@ -119,7 +121,8 @@
 		return
 	}
 	elapsed := now.Sub(x.startAnswered)
-	expected := fromMilliseconds(c.expectedRunTime(x.task.job, x.task.step) / x.runner.speed.rate())
+	rate := max(x.runner.speed.rate(), 1/stragglerFactor) // of a stalled runner it tends to zero
+	expected := fromMilliseconds(c.expectedRunTime(x.task.job, x.task.step) / rate)
 	limit := time.Duration(stragglerFactor*float64(expected)) + stragglerMargin
 	if elapsed < limit {
 		return
--- a/core/cell/hold.go
+++ b/core/cell/hold.go
@@ -84,6 +84,7 @@
 		}
 		c.sendHold(now, r, wait)
 	}
+	c.lookAtRuns(now, r)
 	c.checkRuns(now, r)
 	c.releaseLapsed(now, r)
 }
@@ -158,6 +159,7 @@
 		c.recordProgress(now, r, h.Running)
 		c.releaseMissing(now, r, h.Running, sent)
 	}
+	c.moveSlowRuns(now, r)
 	c.maintain(r, now)
 	c.schedulePass()
 }
--- a/core/cell/run.go
+++ b/core/cell/run.go
@@ -29,6 +29,7 @@
 	stopSent       time.Time // when a stop order was sent; zero if none was
 	orphan         bool      // its resources are not known; the runner counts as full
 	resumed        bool      // started from a checkpoint
+	lookAt         time.Time // when the runner is next asked for the progress of the run
 }
 
 // checkRuns handles the start and stop orders of r that were not answered in time, and
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -16,7 +16,7 @@
 // Timing of orders.
 const (
 	leaseMargin       = 30 * time.Millisecond // amount by which deadlines stay below the longest lease
-	minAnswerTimeout  = 60 * time.Millisecond // least time allowed for the reply to an order
+	minAnswerTimeout  = 25 * time.Millisecond // least time allowed for the reply to an order
 	probeInterval     = 300 * time.Millisecond
 	pollInterval      = 12 * time.Millisecond  // between holds while some ends are not acknowledged
 	orphanTimeout     = 600 * time.Millisecond // time for a caller to resubmit the job of an orphaned run
--- a/core/cell/runner_world_test.go
+++ b/core/cell/runner_world_test.go
@@ -36,6 +36,7 @@
 	hangs        bool    // whether runs make no progress and never end
 	unfit        bool    // whether it rejects all start orders
 	slowdown     float64 // factor by which runs take longer
+	losesPolls   bool    // replies to long polls are lost
 	driftPercent int64   // percent by which the clock is slow
 	token        int64   // highest fencing token seen
 	leaseUntil   int64   // on its clock, in milliseconds
@@ -336,6 +337,9 @@
 // hold processes a hold order and calls answer at once, or once a run ends or the wait
 // is over if the hold is a long poll and there are no ends to report.
 func (r *simRunner) hold(h order.Hold, answer func(order.HoldReply)) {
+	if r.losesPolls && h.Wait > 0 {
+		answer = func(order.HoldReply) {}
+	}
 	if h.Token < r.token {
 		answer(order.HoldReply{Verdict: order.Fenced, Clock: r.clock()})
 		return
--- a/core/cell/speed.go
+++ b/core/cell/speed.go
@@ -7,6 +7,9 @@
 	kindPriorSamples   = 3.0   // weight of the kind's speed, in samples of the runner
 	speedWindow        = 24.0  // samples in the moving average of a runner
 	kindWindow         = 300.0 // samples in the moving average of a kind
+	changeLogDistance  = 1.1   // distance of a sample from the mean logarithm that means a change
+	changeSamples      = 2.0   // former samples that count after a change
+	progressSamples    = 6.0   // weight of a measured progress, in samples
 	outlierMinSamples  = 10.0  // samples of a kind from which on outliers are limited
 	outlierLogDistance = 0.7   // distance from the mean logarithm beyond which a sample is an outlier
 )
@@ -42,12 +45,23 @@
 	}
 }
 
-// updateOwn adds the speed of one run that says nothing about other runners of the kind.
+// updateOwn adds the speed of one run that says nothing about other runners of the kind. A
+// speed far from the estimate means that the runner has changed, so that former samples
+// count little.
 func (s *speed) updateOwn(ratio float64) {
+	if math.Abs(math.Log(ratio)-s.meanLog) > changeLogDistance {
+		s.samples = min(s.samples, changeSamples)
+	}
 	s.samples = min(s.samples+1, speedWindow)
 	s.meanLog += (math.Log(ratio) - s.meanLog) / s.samples
 }
 
+// replace sets the estimate to the logarithm of a speed that was measured by the progress
+// of a run.
+func (s *speed) replace(log float64) {
+	s.meanLog, s.samples = log, max(s.samples, progressSamples)
+}
+
 // update adds the logarithm of the speed of one run. Outliers are limited, so that a few
 // runners that are slow for a time hardly affect the others.
 func (k *kindSpeed) update(log float64) {
--- a/core/eventloop/loop.go
+++ b/core/eventloop/loop.go
@@ -104,7 +104,7 @@
 	l.calls.Go(func() { l.load(ctx) })
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	lastTick := l.Clock.Now()
+	lastTick, skipped := l.Clock.Now(), false
 	for !l.cell.Deposed() {
 		select {
 		case m := <-l.messages:
@@ -112,8 +112,15 @@
 			l.applyQueued()
 		case <-ticker.C:
 			now := l.Clock.Now()
+			late := now.Sub(lastTick) > 2*tickInterval
 			l.recordLag(now.Sub(lastTick) - tickInterval)
 			lastTick = now
+			// After a pause of the process replies may be waiting, which a tick would take for
+			// missing.
+			if skipped = late && !skipped; skipped {
+				l.applyQueued()
+				break
+			}
 			l.cell.Tick(now)
 			l.publish()
 		case <-ctx.Done():
