overflow, shard, cell: cells of one data centre from 12 runners on, jobs start where there is room

Change: data centres with 12 runners and two instances have cells of their own. So that small cells do not make jobs wait, a job is first submitted to up to three cells for a start at once; only if none has room it waits in the first (submission with RoomOnly).

Tried and dropped: a standby that can read the store promises 0.6 s instead of 6 s, so that it can take over from a holder whose heartbeats fail.

--- a/core/cell/admit.go
+++ b/core/cell/admit.go
@@ -41,6 +41,35 @@
 	return "", 0
 }
 
+// hasRoom reports whether all tasks of j that depend on no others can start at once, beside
+// the tasks that wait already.
+func (c *Cell) hasRoom(now time.Time, j *job) bool {
+	if !c.mayStart(now) {
+		return false
+	}
+	waiting := 0
+	for _, other := range c.ready {
+		waiting += other.readyTasks
+	}
+	usable := c.usable(now, 1)
+	for s := range j.Steps {
+		if len(j.Steps[s].After) > 0 {
+			continue
+		}
+		waiting += j.Steps[s].Count
+		places, required := 0, requirements(&j.Steps[s])
+		for _, r := range usable {
+			if r.Service == j.Queue.Service {
+				places += r.free().capacityFor(required)
+			}
+		}
+		if places < waiting {
+			return false
+		}
+	}
+	return true
+}
+
 // fitsIdleRunners reports whether each step of j would fit if all runners were idle: one
 // task on a single runner, a gang on all runners together.
 func (c *Cell) fitsIdleRunners(j *job) bool {
--- a/core/cell/orphan_test.go
+++ b/core/cell/orphan_test.go
@@ -81,6 +81,37 @@
 	require.Empty(t, outcomes)
 }
 
+// TestRoomOnly submits jobs that are to be refused unless they start at once: with room, as
+// many tasks as there are places, and one more while those before it still wait.
+func TestRoomOnly(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 2, 32000)
+	p := w.takeOver()
+	w.run(time.Second)
+	var verdicts []cell.Verdict
+	submit := func(id, tasks int, roomOnly bool) {
+		j := newJob(id, true, work.Step{Count: tasks, CPU: 14000, Estimate: 1000})
+		w.submitted[j.ID] = j
+		p.exec(func() {
+			p.cell.Submit(w.now, cell.Submission{Job: *j, Caller: "a", RoomOnly: roomOnly}, func(o cell.Outcome) {
+				verdicts = append(verdicts, o.Verdict)
+				require.True(t, o.Verdict != cell.Refused || o.Reason == cell.ReasonNoRoom, o.Reason)
+			})
+		})
+	}
+	submit(1, 5, true)
+	require.Equal(t, []cell.Verdict{cell.Refused}, verdicts, "five tasks at four places")
+	submit(2, 3, true)
+	submit(3, 2, true)
+	require.Equal(t, []cell.Verdict{cell.Refused, cell.Refused}, verdicts, "one place is left")
+	submit(4, 1, true)
+	submit(5, 1, true)
+	require.Equal(t, []cell.Verdict{cell.Refused, cell.Refused, cell.Refused}, verdicts, "no place is left")
+	submit(6, 1, false)
+	w.run(5 * time.Second)
+	require.Equal(t, []cell.Verdict{cell.Refused, cell.Refused, cell.Refused, cell.Accepted, cell.Accepted, cell.Accepted}, verdicts)
+}
+
 // TestAttemptLost submits a job twice for one caller, as after a lost connection. The job
 // must go on when the first attempt is lost, and end when the caller leaves or both
 // attempts are lost.
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -14,6 +14,7 @@
 	Caller      string   `json:"caller"`          // identifies the waiting caller, after AttemptSeparator also the attempt
 	Resubmitted bool     `json:"again,omitempty"` // another holder may have received it before
 	AgeMS       int64    `json:"age,omitempty"`   // milliseconds since the caller first submitted it
+	RoomOnly    bool     `json:"room,omitempty"`  // to be refused if not all of its first tasks can start at once
 }
 
 // AttemptSeparator separates the caller of a submission from the number of its attempt.
@@ -49,6 +50,11 @@
 		reply(Outcome{Verdict: Refused, Reason: reason, RetryAfter: after})
 		return
 	}
+	if submission.RoomOnly && !j.inherited && !c.hasRoom(now, j) {
+		c.Metrics.Count("refused_"+ReasonNoRoom, 1)
+		reply(Outcome{Verdict: Refused, Reason: ReasonNoRoom, RetryAfter: retryAfter})
+		return
+	}
 	j.waiting = append(j.waiting, waiter{submission.Caller, reply})
 	for s := range j.tasks {
 		for _, t := range j.tasks[s] {
--- a/core/overflow/submitter.go
+++ b/core/overflow/submitter.go
@@ -16,55 +16,81 @@
 type Cell interface {
 	// Connected reports whether the holder of the cell can be reached.
 	Connected() bool
-	// Submit submits a job that arrived at the given time and returns the outcome.
-	Submit(ctx context.Context, j work.Job, arrived time.Time) cell.Outcome
+	// Submit submits a job that arrived at the given time and returns the outcome. If
+	// roomOnly is true, the cell refuses a job of which not all first tasks can start at
+	// once, with cell.ReasonNoRoom.
+	Submit(ctx context.Context, j work.Job, arrived time.Time, roomOnly bool) cell.Outcome
 }
 
 // Submitter submits jobs to cells. Its fields must be set before use.
 type Submitter struct {
 	Clock interface{ Now() time.Time }
-	// OnHandedOver is called when a cell has refused a job that is submitted to another one.
+	// OnHandedOver is called when a cell has refused a job that is submitted again.
 	OnHandedOver func(j work.Job, o cell.Outcome)
 }
 
-// Submit submits a job to cells until one does not refuse it, at most MaxCells of them:
-// those with a holder that can be reached first, otherwise in the given order. If all
-// refuse, it returns the refusal of the first with the shortest of the times after which
-// the caller may submit again.
+// Submit submits a job to at most MaxCells cells, those with a holder that can be reached
+// first, otherwise in the given order: first to those that can start it at once, then, if
+// none can, until one does not refuse it. If all refuse, it returns the refusal of the
+// first with the shortest of the times after which the caller may submit again.
 func (s *Submitter) Submit(ctx context.Context, j work.Job, cells []Cell) cell.Outcome {
 	arrived := s.Clock.Now()
-	ordered := reachableFirst(cells)
+	reachable, unreachable := byReach(cells)
+	ordered := slices.Concat(reachable, unreachable)
 	ordered = ordered[:min(len(ordered), MaxCells)]
-	var refusal cell.Outcome
+	var refusals []cell.Outcome
+	var full []Cell // may run the job later
+	if len(ordered) == 1 {
+		return ordered[0].Submit(ctx, j, arrived, false)
+	}
 	for i, c := range ordered {
-		o := c.Submit(ctx, j, arrived)
-		if o.Verdict != cell.Refused {
+		if i >= len(reachable) {
+			full = append(full, c)
+			continue
+		}
+		o := c.Submit(ctx, j, arrived, true)
+		if o.Verdict != cell.Refused || ctx.Err() != nil {
 			return o
 		}
-		if i == 0 {
-			refusal = o
+		if o.Reason == cell.ReasonNoRoom {
+			full = append(full, c)
+		} else {
+			refusals = append(refusals, o)
+		}
+		s.OnHandedOver(j, o)
+	}
+	for _, c := range full {
+		o := c.Submit(ctx, j, arrived, false)
+		if o.Verdict != cell.Refused {
+			return o
 		}
-		refusal.RetryAfter = min(refusal.RetryAfter, o.RetryAfter)
+		refusals = append(refusals, o)
 		if ctx.Err() != nil {
 			break
 		}
-		if i+1 < len(ordered) {
-			s.OnHandedOver(j, o)
-		}
+		s.OnHandedOver(j, o)
+	}
+	return combine(refusals)
+}
+
+// combine returns the first of the refusals with the shortest of their times. It panics if
+// there are none.
+func combine(refusals []cell.Outcome) cell.Outcome {
+	o := refusals[0]
+	for _, other := range refusals[1:] {
+		o.RetryAfter = min(o.RetryAfter, other.RetryAfter)
 	}
-	return refusal
+	return o
 }
 
-// reachableFirst returns cells with those first whose holder can be reached.
-func reachableFirst(cells []Cell) []Cell {
-	ordered := make([]Cell, 0, len(cells))
-	var unreachable []Cell
+// byReach returns the cells whose holder can be reached and the others.
+func byReach(cells []Cell) (reachable, unreachable []Cell) {
 	for _, c := range cells {
 		if c.Connected() {
-			ordered = append(ordered, c)
+			reachable = append(reachable, c)
 		} else {
 			unreachable = append(unreachable, c)
 		}
 	}
-	return slices.Concat(ordered, unreachable)
+	return reachable, unreachable
 }
--- a/core/proxy/submit.go
+++ b/core/proxy/submit.go
@@ -11,10 +11,11 @@
 	"gypsumward/core/work"
 )
 
-// Submit submits a job that arrived at the given time and returns the outcome. It tries one
-// holder after the other until one returns a final outcome or ctx ends. If it gives up
-// while a holder may have the job, it notifies the holder that the caller no longer waits.
-func (p *Proxy) Submit(ctx context.Context, j work.Job, arrived time.Time) cell.Outcome {
+// Submit submits a job that arrived at the given time and returns the outcome, a refusal if
+// roomOnly is true and not all of its first tasks can start at once. It tries one holder
+// after the other until one returns a final outcome or ctx ends. If it gives up while a
+// holder may have the job, it notifies the holder that the caller no longer waits.
+func (p *Proxy) Submit(ctx context.Context, j work.Job, arrived time.Time, roomOnly bool) cell.Outcome {
 	submission := cell.Submission{Job: j}
 	caller := p.Self.Incarnation + "/" + strconv.FormatInt(p.submissions.Add(1), 10)
 	began := p.Clock.Now()
@@ -23,6 +24,7 @@
 		var o cell.Outcome
 		var maybeHandled bool
 		submission.AgeMS = p.Clock.Now().Sub(arrived).Milliseconds()
+		submission.RoomOnly = roomOnly && !submission.Resubmitted
 		submission.Caller = caller + cell.AttemptSeparator + strconv.Itoa(attempt)
 		o, maybeHandled, err = p.submitOnce(ctx, submission)
 		if err == nil && isFinal(o, submission.Resubmitted) {
--- a/core/shard/fleet.go
+++ b/core/shard/fleet.go
@@ -12,8 +12,8 @@
 
 // Sizes from which on a data centre has cells of its own.
 const (
-	minZoneInstances = 3  // one holds a cell, another takes over, and one more may be replaced
-	minZoneRunners   = 32 // the tasks of a wide job still fit at once
+	minZoneInstances = 2 // one holds a cell, another takes over
+	minZoneRunners   = 12
 )
 
 // Runner is a runner as far as a plan depends on it.
--- a/gypsumward/hosted/jobservice.go
+++ b/gypsumward/hosted/jobservice.go
@@ -38,7 +38,7 @@
 		return cell.Outcome{Verdict: cell.Refused, Reason: proxy.ReasonNoHolder, RetryAfter: planRetryAfter}
 	}
 	if !j.Transient {
-		return p.Submit(ctx, j, s.h.clock.Now())
+		return p.Submit(ctx, j, s.h.clock.Now(), false)
 	}
 	participants := s.h.participants()
 	var cells []overflow.Cell
