roster: rows of instances that ended long ago are removed, a late removal concerns no later incarnation

And the removal at SIGTERM had no condition: the store may carry it out seconds later, when the next incarnation has registered, which then is no standby until its next restart.

Change: an instance writes its row again within 10 minutes; rows that have not changed for 30 minutes of uninterrupted reads are removed on the condition of their version; the removal at SIGTERM depends on the version that was written.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -25,16 +25,32 @@
 	maxBackoff   = 5 * time.Second
 )
 
+// An instance writes its row again at least once per refreshInterval. A row that does not
+// change for expiry is that of an instance that has ended without removing it.
+const (
+	refreshInterval = 10 * time.Minute
+	expiry          = 3 * refreshInterval
+	// maxReadGap is the time between two reads beyond which the time that rows have not
+	// changed counts anew, since the store may have accepted no writes either.
+	maxReadGap = time.Minute
+)
+
 // Store reads and writes rows.
 type Store interface {
 	mirror.Store
 	Write(ctx context.Context, w table.Write) (table.Written, error)
 }
 
+// Clock returns the current time.
+type Clock interface {
+	Now() time.Time
+}
+
 // Roster holds the members as last read. Its exported fields must be set before use.
 type Roster struct {
 	Store Store
 	Self  election.Member
+	Clock Clock
 	Log   log.Logger
 	// Interval returns the time between two reads of the rows.
 	Interval func() time.Duration
@@ -43,53 +59,97 @@
 
 	mu      sync.Mutex
 	members []election.Member
+	version int64 // of the row of this instance; zero if it is not known to be written
+	seen    map[string]sighting
+	readAt  time.Time // time of the last read
 }
 
-// Run reads the members at intervals until ctx ends.
+// sighting is when the version of a row was first read.
+type sighting struct {
+	version int64
+	at      time.Time
+}
+
+// Run reads the members at intervals until ctx ends, and removes the rows of those that have
+// ended long ago.
 func (r *Roster) Run(ctx context.Context) {
 	p := &mirror.Poller{
-		Store: r.Store, Prefix: Prefix, Interval: r.Interval, Refresh: r.Refresh, OnRows: r.apply,
+		Store: r.Store, Prefix: Prefix, Interval: r.Interval, Refresh: r.Refresh,
+		OnRows:  func(rows []table.Row, _ bool) { r.removeExpired(ctx, r.apply(rows)) },
 		OnError: func(err error) { _ = r.Log.Log("event", "missed", "what", "members", "err", err) },
 	}
 	p.Run(ctx)
 }
 
-// Register writes the row of this instance, retrying until it is written or ctx ends. The
-// backoff is random, since all instances may start at the same time.
+// Register writes the row of this instance, and again from time to time, until ctx ends.
+// The times are random, since all instances may start at the same time.
 func (r *Roster) Register(ctx context.Context) {
 	value, err := json.Marshal(r.Self)
 	if err != nil {
 		panic(encodePanic + err.Error())
 	}
-	for backoff := minBackoff; ctx.Err() == nil; backoff = min(2*backoff, maxBackoff) {
-		if r.write(ctx, table.Op{Key: Prefix + r.Self.Node, IfVersion: table.AnyVersion, Value: value}) == nil {
-			return
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		written, err := r.write(ctx, table.Op{Key: r.key(), IfVersion: table.AnyVersion, Value: value})
+		if err != nil {
+			monotonic.Sleep(ctx, rand.N(backoff))
+			backoff = min(2*backoff, maxBackoff)
+			continue
 		}
-		monotonic.Sleep(ctx, rand.N(backoff))
+		backoff = minBackoff
+		r.mu.Lock()
+		r.version = written.Version
+		r.mu.Unlock()
+		monotonic.Sleep(ctx, refreshInterval/2+rand.N(refreshInterval/2))
 	}
 }
 
-// Deregister removes the row of this instance. One attempt is made.
+// Deregister removes the row of this instance. One attempt is made, on the condition that
+// the row is the one that this instance has written: the store may carry the attempt out
+// late, when the next incarnation has registered.
 func (r *Roster) Deregister(ctx context.Context) {
-	err := r.write(ctx, table.Op{Key: Prefix + r.Self.Node, IfVersion: table.AnyVersion, Delete: true})
-	if err != nil {
+	r.mu.Lock()
+	version := r.version
+	r.mu.Unlock()
+	if version == 0 {
+		return
+	}
+	if _, err := r.write(ctx, table.Op{Key: r.key(), IfVersion: version, Delete: true}); err != nil {
 		_ = r.Log.Log("event", "missed", "what", "deregister", "err", err)
 	}
 }
 
-func (r *Roster) write(ctx context.Context, op table.Op) error {
+// key returns the key of the row of this instance.
+func (r *Roster) key() string { return Prefix + r.Self.Node }
+
+func (r *Roster) write(ctx context.Context, op table.Op) (table.Written, error) {
 	limited, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	_, err := r.Store.Write(limited, table.Write{Ops: []table.Op{op}})
-	return err
+	return r.Store.Write(limited, table.Write{Ops: []table.Op{op}})
 }
 
 const encodePanic = "roster: cannot encode member: "
 
-// apply replaces the members by those in rows. A row that cannot be decoded names none.
-func (r *Roster) apply(rows []table.Row, _ bool) {
+// apply replaces the members by those in rows and returns the rows that have expired. A row
+// that cannot be decoded names no member.
+func (r *Roster) apply(rows []table.Row) (expired []table.Row) {
+	now := r.Clock.Now()
+	if now.Sub(r.readAt) > maxReadGap {
+		r.seen = nil
+	}
+	r.readAt = now
 	members := make([]election.Member, 0, len(rows))
+	seen := make(map[string]sighting, len(rows))
 	for _, row := range rows {
+		s := r.seen[row.Key]
+		if s.version != row.Version {
+			s = sighting{version: row.Version, at: now}
+		}
+		seen[row.Key] = s
+		if now.Sub(s.at) > expiry {
+			expired = append(expired, row)
+			continue
+		}
 		var m election.Member
 		if err := json.Unmarshal(row.Value, &m); err != nil || m.Node == "" || row.Key != Prefix+m.Node {
 			_ = r.Log.Log("event", "badrow", "key", row.Key, "err", err)
@@ -97,9 +157,19 @@
 		}
 		members = append(members, m)
 	}
+	r.seen = seen
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.members = members
+	return expired
+}
+
+// removeExpired removes rows unless they have changed. One attempt is made.
+func (r *Roster) removeExpired(ctx context.Context, rows []table.Row) {
+	for _, row := range rows {
+		written, err := r.write(ctx, table.Op{Key: row.Key, IfVersion: row.Version, Delete: true})
+		_ = r.Log.Log("event", "expired", "key", row.Key, "removed", written.Committed, "err", err)
+	}
 }
 
 // Members returns the members as last read. The slice must not be changed.
