standby, balance, promise, hosted: cells are handed on within their data centre, never to an instance that leaves

(b) While one of three instances of a data centre was down, a holder there took standbys of other data centres and kept them: in the cut one of those claimed the cell and reached none of its runners for 6 s. (c) A cell whose holder had ended up elsewhere went back only if the instance with the fewest cells was at home.

Change: hello messages say that the sender leaves, and it is no successor; successors in the data centre of the cell come first; a cell held at home has all its standbys there, even a single one, and they replace others as soon as they are back; a restarted instance is not passed over as silent; a holder without a successor goes on until one appears, then ends its term instead of taking the cell along.

Ruled out: a takeover of an outsider that checks whether it reaches the runners, since the holder inside needs the promises of all standbys anyway.

--- a/core/promise/granted.go
+++ b/core/promise/granted.go
@@ -12,6 +12,7 @@
 	lastHello Hello     // the next hello message, without the member
 	repliedAt time.Time // when the holder last replied
 	until     time.Time // end of the longest promise
+	leaving   bool
 }
 
 // Restart sets the promise of a new incarnation of an instance to the longest that a
@@ -23,7 +24,7 @@
 // NextHello returns the hello message to send to the holder.
 func (g *Granted) NextHello(self election.Member) Hello {
 	next := g.lastHello
-	next.Member = self
+	next.Member, next.Leaving = self, g.leaving
 	return next
 }
 
@@ -45,8 +46,12 @@
 	}
 }
 
-// Leave extends the last promise of an instance that shuts down and takes over no more.
-func (g *Granted) Leave() {
+// Leave makes all further hello messages say that this instance shuts down.
+func (g *Granted) Leave() { g.leaving = true }
+
+// Extend extends the last promise to the longest one, for an instance that takes over no
+// more.
+func (g *Granted) Extend() {
 	if g.repliedAt.IsZero() {
 		return
 	}
--- a/core/promise/hello.go
+++ b/core/promise/hello.go
@@ -26,6 +26,9 @@
 	PromiseDuration   span.Span `json:"length,omitempty"` // of the promise, from the arrival of that reply
 	Cells             int       `json:"cells,omitempty"`  // number of cells the sender holds
 
+	// Leaving means that the sender shuts down, so that it must not become the holder.
+	Leaving bool `json:"leaving,omitempty"`
+
 	// StandbyOnly means that the sender takes over only as a standby of the holder. Instances
 	// of builds without standbys take over at any time.
 	StandbyOnly bool `json:"standby,omitempty"`
--- a/core/promise/promise_test.go
+++ b/core/promise/promise_test.go
@@ -96,7 +96,7 @@
 	p.received.RecordHello(p.now, promise.Hello{Member: election.Member{Node: "q", Incarnation: "q@1", StartedAt: 7}})
 	_, ok := p.received.Until(p.now, nil, false)
 	require.False(t, ok, "another peer has promised nothing")
-	m, _, ok := p.received.BestSuccessor(p.now, time.Second)
+	m, _, ok := p.received.BestSuccessor(p.now, time.Second, "")
 	require.True(t, ok)
 	require.Equal(t, "q", m.Node)
 	p.now = p.now.Add(9 * time.Second)
@@ -153,6 +153,7 @@
 				p.restart()
 			case 1:
 				p.granted.Leave()
+				p.granted.Extend()
 				last := p.granted.NextHello(p.self)
 				inFlight = append(inFlight, message{at: p.now.Add(50 * time.Millisecond), hello: &last})
 			}
@@ -167,30 +168,55 @@
 	t.Parallel()
 	now := time.Unix(100, 0)
 	newHello := func(node string, cells int, cores float64, since int64) promise.Hello {
-		return promise.Hello{Cells: cells, Member: election.Member{Node: node, Incarnation: node, Cores: cores, StartedAt: since}}
+		return promise.Hello{Cells: cells, Member: election.Member{Node: node, Incarnation: node, Cores: cores, StartedAt: since, Zone: "z-" + node}}
 	}
+	leaving := newHello("b", 0, 0.8, 1)
+	leaving.Leaving = true
 	for _, test := range []struct {
 		want   string
+		zone   string
 		hellos []promise.Hello
 	}{
-		{"", nil},
-		{"a", []promise.Hello{newHello("a", 3, 0.1, 1)}},
-		{"b", []promise.Hello{newHello("a", 1, 0.8, 1), newHello("b", 0, 0.4, 1)}},
-		{"b", []promise.Hello{newHello("a", 0, 0.4, 9), newHello("b", 0, 0.8, 1)}},
-		{"b", []promise.Hello{newHello("a", 0, 0.4, 1), newHello("b", 0, 0.4, 2), newHello("c", 1, 0.4, 3)}},
+		{"", "", nil},
+		{"a", "", []promise.Hello{newHello("a", 3, 0.1, 1)}},
+		{"b", "", []promise.Hello{newHello("a", 1, 0.8, 1), newHello("b", 0, 0.4, 1)}},
+		{"b", "", []promise.Hello{newHello("a", 0, 0.4, 9), newHello("b", 0, 0.8, 1)}},
+		{"b", "", []promise.Hello{newHello("a", 0, 0.4, 1), newHello("b", 0, 0.4, 2), newHello("c", 1, 0.4, 3)}},
+		{"a", "z-a", []promise.Hello{newHello("a", 3, 0.1, 1), newHello("b", 0, 0.8, 1)}},
+		{"b", "z-x", []promise.Hello{newHello("a", 3, 0.1, 1), newHello("b", 0, 0.8, 1)}},
+		{"a", "", []promise.Hello{newHello("a", 3, 0.1, 1), leaving}},
+		{"a", "z-b", []promise.Hello{newHello("a", 3, 0.1, 1), leaving}},
+		{"", "z-b", []promise.Hello{leaving}},
 	} {
 		received := promise.Received{Incarnation: holder}
 		for _, hello := range test.hellos {
 			received.RecordHello(now, hello)
 		}
-		m, _, ok := received.BestSuccessor(now.Add(time.Second), time.Second)
+		m, _, ok := received.BestSuccessor(now.Add(time.Second), time.Second, test.zone)
 		require.Equal(t, test.want, m.Node)
 		require.Equal(t, test.want != "", ok)
-		_, _, ok = received.BestSuccessor(now.Add(2*time.Second), time.Second)
+		_, _, ok = received.BestSuccessor(now.Add(2*time.Second), time.Second, test.zone)
 		require.False(t, ok, "no recent hello message")
 	}
 }
 
+// TestLeaving checks that an instance which shuts down says so in each further hello
+// message, also after later replies and without any, and that its next incarnation does not.
+func TestLeaving(t *testing.T) {
+	t.Parallel()
+	p := newPair(1)
+	p.granted.Leave()
+	require.True(t, p.granted.NextHello(p.self).Leaving)
+	p.exchange(false)
+	p.exchange(false)
+	_, _, ok := p.received.BestSuccessor(p.now, time.Second, "")
+	require.False(t, ok)
+	p.restart()
+	p.exchange(false)
+	_, _, ok = p.received.BestSuccessor(p.now, time.Second, "")
+	require.True(t, ok)
+}
+
 // TestStandbys plays peers of which only some may take over. The holder must wait for all
 // standbys, also for those that it has never heard, and for no other peer but one that
 // does not keep to the list.
--- a/core/promise/received.go
+++ b/core/promise/received.go
@@ -26,6 +26,7 @@
 	until   time.Time // the peer does not take over before; zero if it has promised nothing
 	cells   int       // number of cells the peer holds
 	listed  bool      // the peer takes over only as a standby
+	leaving bool      // the peer shuts down
 }
 
 // RecordHello records a hello message received at now. Promises given to another
@@ -35,7 +36,10 @@
 	if r.peers == nil {
 		r.peers = map[string]entry{}
 	}
-	e := entry{member: hello.Member, helloAt: now, cells: hello.Cells, listed: hello.StandbyOnly, until: r.peers[hello.Node].until}
+	e := entry{
+		member: hello.Member, helloAt: now, cells: hello.Cells, listed: hello.StandbyOnly, leaving: hello.Leaving,
+		until: r.peers[hello.Node].until,
+	}
 	repliedAt := time.Unix(0, hello.ReplyTimestamp)
 	if hello.HolderIncarnation == r.Incarnation && hello.ReplyTimestamp != 0 && !repliedAt.After(now) {
 		validFor := min(max(hello.PromiseDuration.Duration(), 0), ExtendedDuration) // a longer one was never given
@@ -90,13 +94,14 @@
 }
 
 // BestSuccessor returns the peer best suited to hold a cell next, of those that sent a
-// hello message within the given time: the one that would have the fewest cells for its
-// cores, among these the one that holds the fewest, and among these the one that started
-// last. It also returns how many cells that peer holds. Ok is false if there is none.
-func (r *Received) BestSuccessor(now time.Time, within time.Duration) (m election.Member, cells int, ok bool) {
+// hello message within the given time and do not shut down: one in the given data centre if
+// there is any, and among these the one that would have the fewest cells for its cores, then
+// the one that holds the fewest, then the one that started last. It also returns how many
+// cells that peer holds. Ok is false if there is none.
+func (r *Received) BestSuccessor(now time.Time, within time.Duration, zone string) (m election.Member, cells int, ok bool) {
 	var best entry
 	for _, e := range r.peers {
-		if now.Sub(e.helloAt) <= within && (!ok || e.preferredTo(best)) {
+		if !e.leaving && now.Sub(e.helloAt) <= within && (!ok || e.preferredTo(best, zone)) {
 			best, ok = e, true
 		}
 	}
@@ -109,8 +114,11 @@
 // minCores stands for unknown numbers of cores.
 const minCores = 0.01
 
-// preferredTo reports whether e is better suited than other to hold a cell.
-func (e entry) preferredTo(other entry) bool {
+// preferredTo reports whether e is better suited than other to hold a cell of a data centre.
+func (e entry) preferredTo(other entry, zone string) bool {
+	if local := e.member.Zone == zone; local != (other.member.Zone == zone) {
+		return local
+	}
 	return cmp.Or(
 		cmp.Compare(CellsPerCore(other.cells+1, other.member.Cores), CellsPerCore(e.cells+1, e.member.Cores)),
 		cmp.Compare(other.cells, e.cells),
--- a/core/proxy/hello.go
+++ b/core/proxy/hello.go
@@ -91,17 +91,20 @@
 	})
 }
 
-// Leave promises the holder for as long as possible not to take over, since this instance
-// shuts down. The elector must have stopped claiming.
+// Leave notifies the holder that this instance shuts down and must not become the holder,
+// and promises it for as long as possible not to take over. The elector must have stopped
+// claiming.
 func (p *Proxy) Leave(ctx context.Context) {
-	exchanging := false
-	promised := p.Elector.Promise(func() {
+	p.mu.Lock()
+	p.granted.Leave()
+	exchanging := p.exchanging
+	p.mu.Unlock()
+	p.Elector.Promise(func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.granted.Leave()
-		exchanging = p.exchanging
+		p.granted.Extend()
 	})
-	if promised && exchanging {
+	if exchanging {
 		p.sendHello(ctx)
 	}
 }
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -56,6 +56,7 @@
 // this instance is the holder. Its exported fields must be set before Run.
 type Proxy struct {
 	Cell      string
+	Zone      string // data centre of the runners; empty if they are in several
 	Self      election.Member
 	Elector   *election.Elector
 	Client    *peer.Client
@@ -268,12 +269,12 @@
 }
 
 // Successor returns the member best suited to hold the cell next, of those that recently
-// sent a hello message, and the number of cells that it holds. Ok is false if there is
-// none.
+// sent a hello message, preferably one in the data centre of the cell, and the number of
+// cells that it holds. Ok is false if there is none.
 func (p *Proxy) Successor() (m election.Member, cells int, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.received.BestSuccessor(p.Clock.Now(), helloTimeout)
+	return p.received.BestSuccessor(p.Clock.Now(), helloTimeout, p.Zone)
 }
 
 // HolderReachable reports whether the holder replied to a recent hello message.
--- a/core/standby/choose.go
+++ b/core/standby/choose.go
@@ -41,6 +41,41 @@
 	return chosen
 }
 
+// ForCell returns the standbys for a cell with runners in a zone, or in several if zone is
+// empty. A cell that is held in its zone has all standbys there, if any member there is
+// usable, so that a zone that is cut off goes on with its own cells. Others are as by Choose.
+func ForCell(cell, zone string, holder election.Member, members []election.Member, usable func(m election.Member) bool) []string {
+	if zone != "" && holder.Zone == zone {
+		inZone := func(m election.Member) bool { return m.Zone == zone && usable(m) }
+		if chosen := Choose(cell, holder, members, inZone); len(chosen) > 0 {
+			return chosen
+		}
+	}
+	return Choose(cell, holder, members, usable)
+}
+
+// Improves reports whether chosen are to replace the current standbys of a cell with
+// runners in a zone: some of them are silent, there are more of them, or, for a cell held in
+// its zone, they are there and some of the current ones are not.
+func Improves(chosen, current []string, silent bool, zone string, members []election.Member) bool {
+	if len(chosen) == 0 || sameNodes(chosen, current) {
+		return false
+	}
+	return silent || len(chosen) > len(current) || (allInZone(chosen, zone, members) && !allInZone(current, zone, members))
+}
+
+// sameNodes reports whether a and b hold the same nodes, in any order.
+func sameNodes(a, b []string) bool {
+	return slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
+}
+
+// allInZone reports whether all nodes are members known to be in a zone.
+func allInZone(nodes []string, zone string, members []election.Member) bool {
+	return !slices.ContainsFunc(nodes, func(node string) bool {
+		return !slices.ContainsFunc(members, func(m election.Member) bool { return m.Node == node && m.Zone == zone })
+	})
+}
+
 // rank returns a value that is lower for better suited members: exponentially distributed
 // over nodes, with a rate that is the square of the cores.
 func rank(cell string, m election.Member) float64 {
--- a/core/standby/choose_test.go
+++ b/core/standby/choose_test.go
@@ -96,3 +96,48 @@
 		}
 	}
 }
+
+// TestForCell checks that a cell that is held in its zone has its standbys there, even if
+// there is only one, and that all others may have them anywhere.
+func TestForCell(t *testing.T) {
+	t.Parallel()
+	members := newMembers(3)
+	require.ElementsMatch(t, []string{"a1", "a2"}, standby.ForCell("c", "a", members[0], members, all))
+	oneLeft := func(m election.Member) bool { return m.Node != "a1" }
+	require.Equal(t, []string{"a2"}, standby.ForCell("c", "a", members[0], members, oneLeft))
+	for _, test := range []struct {
+		zone   string
+		usable func(m election.Member) bool
+	}{
+		{"", all},
+		{"b", all}, // held elsewhere
+		{"a", func(m election.Member) bool { return m.Zone != "a" }},
+	} {
+		chosen := standby.ForCell("c", test.zone, members[0], members, test.usable)
+		require.Equal(t, standby.Choose("c", members[0], members, test.usable), chosen)
+		require.Len(t, chosen, standby.Count)
+	}
+}
+
+// TestImproves checks when standbys are replaced: in a fleet whose instances are restarted
+// in turn, those of other zones that stood in must give way to those of the zone.
+func TestImproves(t *testing.T) {
+	t.Parallel()
+	members := newMembers(3)
+	for _, test := range []struct {
+		name            string
+		chosen, current []string
+		silent, want    bool
+	}{
+		{"none found", nil, []string{"a1"}, true, false},
+		{"the same in another order", []string{"a1", "a2"}, []string{"a2", "a1"}, true, false},
+		{"more", []string{"a1", "a2"}, []string{"a1"}, false, true},
+		{"as many elsewhere", []string{"b1", "b2"}, []string{"a1", "b1"}, false, false},
+		{"a silent one", []string{"b1", "b2"}, []string{"a1", "b1"}, true, true},
+		{"fewer, but in the zone", []string{"a1", "a2"}, []string{"a1", "b1", "b2", "c1"}, false, true},
+		{"fewer in the zone", []string{"a1"}, []string{"a1", "a2"}, false, false},
+		{"an unknown one is taken for one elsewhere", []string{"a1", "a2"}, []string{"a1", "gone"}, false, true},
+	} {
+		require.Equal(t, test.want, standby.Improves(test.chosen, test.current, test.silent, "a", members), test.name)
+	}
+}
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -105,7 +105,7 @@
 	}
 	h.wake, h.readMembers = make(chan struct{}, 1), make(chan struct{}, 1)
 	h.board = &notice.Board{Store: h.store, Wait: noticeWait, Log: h.log, OnNotice: h.applyNotice, OnError: h.readFailed("notices")}
-	h.roster = &roster.Roster{Store: h.store, Self: h.self, Log: h.log, Interval: h.membersInterval, Refresh: h.readMembers}
+	h.roster = &roster.Roster{Store: h.store, Self: h.self, Clock: h.clock, Log: h.log, Interval: h.membersInterval, Refresh: h.readMembers}
 	return h
 }
 
--- a/gypsumward/hosted/participant.go
+++ b/gypsumward/hosted/participant.go
@@ -34,8 +34,8 @@
 	changing atomic.Bool // standbys are being replaced or the cell is being handed over
 
 	mu           sync.Mutex
-	standbysFrom time.Time            // when the standbys were last chosen
-	absent       map[string]time.Time // nodes that sent no hello messages as standbys; until when they are passed over
+	standbysFrom time.Time           // when the standbys were last chosen
+	absent       map[string]absentee // by node
 }
 
 // Delays before an instance claims a cell, so that instances with more cores and fewer
@@ -53,7 +53,7 @@
 // newParticipant returns the participant for the cell with the given number in plan.
 func (h *Host) newParticipant(plan shard.Plan, number int) *participant {
 	c := plan.Cells[number]
-	p := &participant{number: number, name: c.Name, cell: c, host: h, joined: h.clock.Now(), absent: map[string]time.Time{}}
+	p := &participant{number: number, name: c.Name, cell: c, host: h, joined: h.clock.Now(), absent: map[string]absentee{}}
 	p.log = log.With(h.log, "cell", p.name)
 	p.delay = h.startDelay(p.name) + time.Duration(h.claimOrder(plan, number))*startDelayPerCell
 	if !p.local() {
@@ -61,7 +61,7 @@
 	}
 	p.elector = election.New(p.name, election.Settings{PollInterval: pollInterval})
 	p.proxy = &proxy.Proxy{
-		Cell: p.name, Self: h.self, Elector: p.elector, Client: h.client, Store: h.store, Clock: h.clock,
+		Cell: p.name, Zone: c.Zone, Self: h.self, Elector: p.elector, Client: h.client, Store: h.store, Clock: h.clock,
 		Log: p.log, HeldCells: h.cellsHeld, NewLoop: func(t election.Term) *eventloop.Loop { return h.newLoop(p, t) },
 	}
 	p.elector.Self, p.elector.Store, p.elector.Clock = h.self, h.store, h.clock
@@ -137,35 +137,56 @@
 // leave gives up the part of this instance in the cell, which stops claiming it: a holder
 // hands the cell over, a standby promises not to take over.
 func (p *participant) leave() {
-	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
-	defer cancel()
 	if l := p.proxy.CurrentLoop(); l != nil {
-		p.handOver(ctx, l)
+		p.handOver(l)
 		return
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+	defer cancel()
 	p.proxy.Leave(ctx)
 }
 
 // handOver drains the cell until no write or start is in flight and hands it over to
-// another instance. If that cannot be written before ctx ends, it ends the term, and any
-// standby may take over.
-func (p *participant) handOver(ctx context.Context, l *eventloop.Loop) {
-	successor, _, ok := p.proxy.Successor()
-	if !ok {
+// another instance. If none has sent a hello message, the cell goes on until one does. If
+// the handover cannot be written in time, or no instance is found while clients are still
+// directed here, the term ends, and any standby may take over.
+func (p *participant) handOver(l *eventloop.Loop) {
+	if successor, ok := p.awaitSuccessor(l); ok {
+		ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+		defer cancel()
+		if p.transfer(ctx, l, successor) {
+			return
+		}
+	} else {
 		_ = p.log.Log("event", "nosuccessor")
-		return
-	}
-	if p.transfer(ctx, l, successor) {
-		return
 	}
-	l.Depose("the handover could not be written")
+	l.Depose("the cell could not be handed over")
 	<-l.Done()
 	p.elector.Released(l.Term.Epoch)
-	limited, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	defer cancel()
-	p.proxy.AnnounceRelease(limited, l.Term.Epoch)
+	p.proxy.AnnounceRelease(ctx, l.Term.Epoch)
 }
 
+// awaitSuccessor waits until an instance can become the next holder, for as long as there
+// is time for a handover after that. Ok is false if there is none or the term has ended.
+func (p *participant) awaitSuccessor(l *eventloop.Loop) (m election.Member, ok bool) {
+	deadline := p.host.clock.Now().Add(drainTime - handoverTimeout)
+	for {
+		if m, _, ok = p.proxy.Successor(); ok || !p.host.clock.Now().Before(deadline) {
+			return m, ok
+		}
+		select {
+		case <-l.Done():
+			return m, false
+		case <-time.After(successorInterval):
+		}
+	}
+}
+
+// successorInterval is the time between checks for a next holder.
+const successorInterval = 25 * time.Millisecond
+
 // giveUp hands the cell over to an instance that holds none, or goes on if that cannot be
 // written.
 func (p *participant) giveUp(l *eventloop.Loop, successor election.Member) {
--- a/gypsumward/hosted/standby.go
+++ b/gypsumward/hosted/standby.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
+	"gypsumward/core/balance"
 	"gypsumward/core/election"
 	"gypsumward/core/monotonic"
-	"gypsumward/core/promise"
 	"gypsumward/core/shard"
 	"gypsumward/core/standby"
 )
@@ -90,9 +90,7 @@
 	}
 }
 
-// balance hands one cell over if this instance holds several and a standby of one would
-// have fewer cells for its cores, if the cell is that of another data centre and a standby
-// is there, or if this machine is too slow for a cell and a standby holds none.
+// balance hands one cell over if another instance should hold it.
 func (h *Host) balance(now time.Time) {
 	held := h.cellsHeld()
 	if h.draining.Load() || held == 0 || now.Before(h.balanceAt) {
@@ -104,15 +102,14 @@
 		if l == nil || !ok {
 			continue
 		}
-		foreign := !p.local() && successor.Zone == p.cell.Zone
-		crowded := held > 1 && promise.CellsPerCore(cells+1, successor.Cores) < promise.CellsPerCore(held, h.self.Cores)
 		lag := l.Lag()
-		if !foreign && !crowded && (lag < maxLag || cells > 0) {
+		reason := balance.Holding{Zone: p.cell.Zone, Self: h.self, Cells: held, Lag: lag, Successor: successor, SuccessorCells: cells}.Reason()
+		if reason == "" {
 			continue
 		}
 		if p.changing.CompareAndSwap(false, true) {
 			h.balanceAt = now.Add(balanceInterval)
-			_ = p.log.Log("event", "balance", "to", successor.Node, "held", held, "cells", cells, "lag", lag)
+			_ = p.log.Log("event", "balance", "to", successor.Node, "why", reason, "held", held, "cells", cells, "lag", lag)
 			go func() {
 				defer p.changing.Store(false)
 				p.giveUp(l, successor)
@@ -122,9 +119,6 @@
 	}
 }
 
-// maxLag is the lag of the loop of a cell from which on the machine is too slow for it.
-const maxLag = 40 * time.Millisecond
-
 // update starts or ends the competition of this instance for the cell, and looks after the
 // standbys of the cell if this instance holds it.
 func (p *participant) update(ctx context.Context, now time.Time) {
@@ -210,26 +204,22 @@
 	}()
 }
 
-// chooseStandbys returns the standbys for the cell under a holder. A cell of one data centre
-// has all of them there if there are enough instances, so that a data centre that is cut off
-// goes on with its own cells.
+// chooseStandbys returns the standbys for the cell under a holder.
 func (p *participant) chooseStandbys(holder election.Member) []string {
 	now := p.host.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	usable := func(m election.Member) bool { return !now.Before(p.absent[m.Node]) }
-	inZone := func(m election.Member) bool { return usable(m) && m.Zone == p.cell.Zone }
-	if p.cell.Zone != "" && holder.Zone == p.cell.Zone {
-		if chosen := standby.Choose(p.name, holder, p.host.roster.Members(), inZone); len(chosen) >= minLocalStandbys {
-			return chosen
-		}
-	}
-	return standby.Choose(p.name, holder, p.host.roster.Members(), usable)
+	return standby.ForCell(p.name, p.cell.Zone, holder, p.host.roster.Members(), func(m election.Member) bool {
+		a, found := p.absent[m.Node]
+		return !found || a.incarnation != m.Incarnation || !now.Before(a.until)
+	})
 }
 
-// minLocalStandbys is the number of standbys in the data centre of a cell without which
-// instances of all data centres are standbys.
-const minLocalStandbys = 2
+// absentee is a standby that has sent no hello message. Its next incarnation may.
+type absentee struct {
+	incarnation string
+	until       time.Time // until when it is passed over
+}
 
 // setStandbysFrom records when the standbys were chosen.
 func (p *participant) setStandbysFrom(now time.Time) {
@@ -247,14 +237,17 @@
 		return nil, false
 	}
 	silent = p.proxy.SilentStandbys(standbyTimeout)
-	for _, node := range silent {
-		p.absent[node] = now.Add(absence)
+	for _, m := range p.host.roster.Members() {
+		if slices.Contains(silent, m.Node) {
+			p.absent[m.Node] = absentee{incarnation: m.Incarnation, until: now.Add(absence)}
+		}
 	}
 	return silent, true
 }
 
-// arrangeStandbys replaces standbys of this instance that send no hello messages, and adds
-// missing ones. Changed standbys are published.
+// arrangeStandbys replaces standbys of this instance that send no hello messages, adds
+// missing ones and prefers those in the data centre of the cell. Changed standbys are
+// published.
 func (p *participant) arrangeStandbys(ctx context.Context, now time.Time) {
 	current, known := p.elector.Standbys()
 	silent, due := p.replaceableStandbys(now)
@@ -262,8 +255,7 @@
 		return
 	}
 	chosen := p.chooseStandbys(p.host.self)
-	complete := len(chosen) <= len(current) && len(silent) == 0
-	if len(chosen) == 0 || (known && complete) || sameNodes(chosen, current) {
+	if len(chosen) == 0 || (known && !standby.Improves(chosen, current, len(silent) > 0, p.cell.Zone, p.host.roster.Members())) {
 		return
 	}
 	if !p.elector.SetStandbys(ctx, chosen) {
@@ -274,10 +266,6 @@
 	p.publish()
 }
 
-func sameNodes(a, b []string) bool {
-	return slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
-}
-
 // publishTimeout bounds the publication of a notice.
 const publishTimeout = 20 * time.Second
 
