backlog, cell: a job is refused if it or one that waits would be late for it, not by the length of the queue

And jobs were refused that would have started at once: waiting tasks too large for any free part of a runner counted as being ahead of smaller ones.

Change: a job is admitted if all its tasks can start now, or if it can wait for the jobs due before it and none due later becomes late for it, with run times extended by half (core/backlog, without clock and network). Waiting tasks that fit nowhere take no room.

--- a/core/cell/admit.go
+++ b/core/cell/admit.go
@@ -1,7 +1,10 @@
 package cell
 
 import (
+	"slices"
 	"time"
+
+	"gypsumward/core/backlog"
 )
 
 // retryAfter is the time after which a refused caller may submit again if the reason is
@@ -33,25 +36,49 @@
 	if j.RepeatCount > 0 || j.LongRunning() {
 		return "", 0
 	}
-	wait := c.backlog()
-	chain := j.CriticalPath(func(step int) float64 { return c.expectedRunTime(j, step) })
-	if wait > 0 && wait+chain > milliseconds(allowed) {
-		return ReasonLoad, max(fromMilliseconds(wait), 100*time.Millisecond)
+	if len(c.ready) == 0 || c.hasRoom(now, j) {
+		return "", 0
+	}
+	if a := c.admission(now, j); !a.Admitted {
+		return ReasonLoad, max(a.Drained, minRetryAfter)
 	}
 	return "", 0
 }
 
+// minRetryAfter is the least time after which a caller that was refused for load may submit
+// again.
+const minRetryAfter = 100 * time.Millisecond
+
+// admission decides whether j can be done in time beside the jobs that wait.
+func (c *Cell) admission(now time.Time, j *job) backlog.Admission {
+	capacity := c.capacity()
+	if capacity == 0 {
+		return backlog.Admission{Admitted: true}
+	}
+	waiting := make([]backlog.Job, 0, len(c.ready))
+	for _, other := range c.ready {
+		waiting = append(waiting, backlog.Job{Due: other.due, Work: fromMilliseconds(c.waitingWork(other) / capacity), Chain: c.expectedChain(other)})
+	}
+	own := 0.0
+	for s := range j.Steps {
+		own += c.stepWork(j, s, j.Steps[s].Count)
+	}
+	return backlog.Admit(now, waiting, backlog.Job{Due: j.due, Work: fromMilliseconds(own / capacity), Chain: c.expectedChain(j)})
+}
+
+// expectedChain returns the expected run time of the longest chain of steps of j.
+func (c *Cell) expectedChain(j *job) time.Duration {
+	return fromMilliseconds(j.CriticalPath(func(step int) float64 { return c.expectedRunTime(j, step) }))
+}
+
 // hasRoom reports whether all tasks of j that depend on no others can start at once, beside
-// the tasks that wait already.
+// the tasks that wait already and can start too.
 func (c *Cell) hasRoom(now time.Time, j *job) bool {
 	if !c.mayStart(now) {
 		return false
 	}
-	waiting := 0
-	for _, other := range c.ready {
-		waiting += other.readyTasks
-	}
 	usable := c.usable(now, 1)
+	waiting := c.startableTasks(j.Queue.Service, usable)
 	for s := range j.Steps {
 		if len(j.Steps[s].After) > 0 {
 			continue
@@ -70,6 +97,20 @@
 	return true
 }
 
+// startableTasks returns the number of waiting tasks of a service that some usable runner has
+// room for. The others do not start before a larger part of a runner is free.
+func (c *Cell) startableTasks(service string, usable []*runner) int {
+	tasks := 0
+	for _, j := range c.ready {
+		if j.Queue.Service == service && slices.ContainsFunc(usable, func(r *runner) bool {
+			return r.Service == service && r.free().fits(j.leastRequired)
+		}) {
+			tasks += j.readyTasks
+		}
+	}
+	return tasks
+}
+
 // fitsIdleRunners reports whether each step of j would fit if all runners were idle: one
 // task on a single runner, a gang on all runners together.
 func (c *Cell) fitsIdleRunners(j *job) bool {
@@ -94,28 +135,51 @@
 // backlog returns the estimated time in milliseconds that the runners need for the
 // waiting tasks, without long-running ones.
 func (c *Cell) backlog() float64 {
-	waiting, capacity := 0.0, 0.0
+	capacity := c.capacity()
+	if capacity == 0 {
+		return 0
+	}
+	waiting := 0.0
 	for _, j := range c.ready {
-		for s := range j.tasks {
-			each := c.expectedRunTime(j, s) * float64(requirements(j.spec(s)).CPU)
-			if j.spec(s).LongRunning {
-				continue
-			}
-			for _, t := range j.tasks[s] {
-				if t.ready {
-					waiting += each
-				}
+		waiting += c.waitingWork(j)
+	}
+	return waiting / capacity
+}
+
+// waitingWork returns the expected work of the tasks of j that may be started, in thousandths
+// of a core times milliseconds at speed one. Long-running ones do not count.
+func (c *Cell) waitingWork(j *job) float64 {
+	work := 0.0
+	for s := range j.tasks {
+		tasks := 0
+		for _, t := range j.tasks[s] {
+			if t.ready {
+				tasks++
 			}
 		}
+		work += c.stepWork(j, s, tasks)
 	}
+	return work
+}
+
+// stepWork returns the expected work of a number of tasks of a step of j.
+func (c *Cell) stepWork(j *job, step, tasks int) float64 {
+	if j.spec(step).LongRunning {
+		return 0
+	}
+	return float64(tasks) * c.expectedRunTime(j, step) * float64(requirements(j.spec(step)).CPU)
+}
+
+// packingEfficiency is the share of the cores that tasks can use.
+const packingEfficiency = 0.85
+
+// capacity returns the work that the runners can do in a millisecond.
+func (c *Cell) capacity() float64 {
+	capacity := 0.0
 	for _, r := range c.sorted {
 		if r.inDirectory && !r.Draining && (r.fenced || !r.synced) {
 			capacity += float64(r.Capacity.CPU) * r.speed.rate()
 		}
 	}
-	if capacity == 0 {
-		return 0
-	}
-	const packingEfficiency = 0.85 // share of the cores that tasks can use
-	return waiting / (packingEfficiency * capacity)
+	return packingEfficiency * capacity
 }
--- a/core/cell/directory.go
+++ b/core/cell/directory.go
@@ -27,6 +27,11 @@
 	return Resources{CPU: r.CPU + n.CPU, Memory: r.Memory + n.Memory, GPU: r.GPU + n.GPU}
 }
 
+// least returns the lesser amount of each resource.
+func (r Resources) least(o Resources) Resources {
+	return Resources{CPU: min(r.CPU, o.CPU), Memory: min(r.Memory, o.Memory), GPU: min(r.GPU, o.GPU)}
+}
+
 // capacityFor returns how many times n fits into r, at most math.MaxInt32.
 func (r Resources) capacityFor(n Resources) int {
 	count := math.MaxInt32
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -41,9 +41,7 @@
 func (c *Cell) leastNeed() int {
 	least := work.MaxCPU
 	for _, j := range c.ready {
-		for s := range j.Steps {
-			least = min(least, requirements(&j.Steps[s]).CPU)
-		}
+		least = min(least, j.leastRequired.CPU)
 	}
 	return max(least, 1)
 }
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -52,8 +52,10 @@
 	adviceByStep map[int]*advice // by step; nil if the queue needs no advice
 	unstoredEnds []endRef        // ends whose effects are not stored yet
 	released     int             // number of occurrences whose time has come
-	hasGang      bool            // at least one step is a gang
-	blockedSince time.Time       // since when a gang waits for capacity; zero if none does
+	// leastRequired holds the least amount of each resource that a task of any step requires.
+	leastRequired Resources
+	hasGang       bool      // at least one step is a gang
+	blockedSince  time.Time // since when a gang waits for capacity; zero if none does
 
 	inherited    bool // a previous holder may have started runs of it
 	inReady      bool // present in Cell.ready
@@ -114,6 +116,10 @@
 	if w.RepeatCount == 0 {
 		j.released = 1
 	}
+	j.leastRequired = requirements(&w.Steps[0])
+	for s := range w.Steps {
+		j.leastRequired = j.leastRequired.least(requirements(&w.Steps[s]))
+	}
 	j.hasGang = slices.ContainsFunc(w.Steps, func(s work.Step) bool { return s.Gang })
 	return j
 }
--- a/core/cell/runner_world_test.go
+++ b/core/cell/runner_world_test.go
@@ -182,6 +182,9 @@
 	r.checkStart(s)
 	step := w.submitted[s.Task.Job].Steps[s.Task.Step]
 	duration := time.Duration(float64(step.Estimate)*(0.7+0.6*w.rng.Float64())*r.slowdown) * time.Millisecond
+	if factor, found := w.realTimes[s.Task.Job]; found {
+		duration = time.Duration(factor * r.slowdown * float64(time.Duration(step.Estimate)*time.Millisecond))
+	}
 	if step.Opportunistic {
 		step.CPU = 0
 	}
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -36,6 +36,7 @@
 	ackedFinished map[string]bool            // tasks whose finished run is acknowledged, by printed name
 	ackedFailures map[work.Task]map[int]bool // numbers of the acknowledged failed runs by task or gang
 	outcomes      map[string]cell.Outcome
+	realTimes     map[string]float64      // run time of the tasks of a job as a factor of the estimate; 1 if missing
 	callerWaits   map[string]bool         // whether the caller of a job still waits for acceptance
 	endCounts     map[order.EndReason]int // number of ended runs by reason
 }
@@ -83,7 +84,7 @@
 		store: &simStore{values: map[string]table.Row{}}, runners: map[string]*simRunner{},
 		finished:  map[work.Task]bool{},
 		submitted: map[string]*work.Job{}, ackedFinished: map[string]bool{}, ackedFailures: map[work.Task]map[int]bool{}, endCounts: map[order.EndReason]int{}, resumedFrom: map[work.Task]string{},
-		outcomes: map[string]cell.Outcome{}, callerWaits: map[string]bool{},
+		outcomes: map[string]cell.Outcome{}, callerWaits: map[string]bool{}, realTimes: map[string]float64{},
 		faults: faults{delay: 2 * time.Millisecond},
 	}
 	for i := range runners {
