overflow, shard: a job waits in the cell with the least work, and one elsewhere is asked before the third at home

Cause: a job that no cell could start at once waited in the first of them by a hash of its id, whatever waited there; and in a data centre with three cells or more no cell elsewhere was ever asked, so one whose runners are lost refused while others had room.

Change: a refusal for lack of room carries the time until the work that waits has started, and the job waits where that is shortest; the order of cells is two at home, one elsewhere, then the others. TestLeastWait, TestJobs.

--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -52,7 +52,7 @@
 	}
 	if submission.RoomOnly && !j.inherited && !c.hasRoom(now, j) {
 		c.Metrics.Count("refused_"+ReasonNoRoom, 1)
-		reply(Outcome{Verdict: Refused, Reason: ReasonNoRoom, RetryAfter: retryAfter})
+		reply(Outcome{Verdict: Refused, Reason: ReasonNoRoom, RetryAfter: fromMilliseconds(c.backlog())})
 		return
 	}
 	j.waiting = append(j.waiting, waiter{submission.Caller, reply})
--- a/core/overflow/submitter.go
+++ b/core/overflow/submitter.go
@@ -1,7 +1,9 @@
 package overflow
 
 import (
+	"cmp"
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -18,7 +20,8 @@
 	Connected() bool
 	// Submit submits a job that arrived at the given time and returns the outcome. If
 	// roomOnly is true, the cell refuses a job of which not all first tasks can start at
-	// once, with cell.ReasonNoRoom.
+	// once, with cell.ReasonNoRoom and the time after which the tasks that wait will have
+	// started.
 	Submit(ctx context.Context, j work.Job, arrived time.Time, roomOnly bool) cell.Outcome
 }
 
@@ -31,21 +34,22 @@
 
 // Submit submits a job to at most MaxCells cells, those with a holder that can be reached
 // first, otherwise in the given order: first to those that can start it at once, then, if
-// none can, until one does not refuse it. If all refuse, it returns the refusal of the
-// first with the shortest of the times after which the caller may submit again.
+// none can, until one does not refuse it, that with the least work first. If all refuse, it
+// returns the refusal of the first with the shortest of the times after which the caller may
+// submit again.
 func (s *Submitter) Submit(ctx context.Context, j work.Job, cells []Cell) cell.Outcome {
 	arrived := s.Clock.Now()
 	reachable, unreachable := byReach(cells)
 	ordered := slices.Concat(reachable, unreachable)
 	ordered = ordered[:min(len(ordered), MaxCells)]
 	var refusals []cell.Outcome
-	var full []Cell // may run the job later
+	var full []waitingCell
 	if len(ordered) == 1 {
 		return ordered[0].Submit(ctx, j, arrived, false)
 	}
 	for i, c := range ordered {
 		if i >= len(reachable) {
-			full = append(full, c)
+			full = append(full, waitingCell{c, unknownWait})
 			continue
 		}
 		o := c.Submit(ctx, j, arrived, true)
@@ -53,12 +57,13 @@
 			return o
 		}
 		if o.Reason == cell.ReasonNoRoom {
-			full = append(full, c)
+			full = append(full, waitingCell{c, o.RetryAfter})
 		} else {
 			refusals = append(refusals, o)
 		}
 		s.OnHandedOver(j, o)
 	}
+	slices.SortStableFunc(full, func(a, b waitingCell) int { return cmp.Compare(a.wait, b.wait) })
 	for _, c := range full {
 		o := c.Submit(ctx, j, arrived, false)
 		if o.Verdict != cell.Refused {
@@ -73,6 +78,15 @@
 	return combine(refusals)
 }
 
+// waitingCell is a cell that may run a job later, once the tasks that wait have started.
+type waitingCell struct {
+	Cell
+	wait time.Duration
+}
+
+// unknownWait stands for the wait in a cell that was not asked.
+const unknownWait = time.Duration(math.MaxInt64)
+
 // combine returns the first of the refusals with the shortest of their times. It panics if
 // there are none.
 func combine(refusals []cell.Outcome) cell.Outcome {
--- a/core/overflow/submitter_test.go
+++ b/core/overflow/submitter_test.go
@@ -17,7 +17,8 @@
 	clock       *clock
 	unreachable bool
 	takes       time.Duration
-	full        bool // cannot start a job at once
+	full        bool          // cannot start a job at once
+	wait        time.Duration // until the jobs that wait have started
 	outcome     cell.Outcome
 	arrived     []time.Time // of the jobs submitted
 }
@@ -28,7 +29,7 @@
 	c.arrived = append(c.arrived, arrived)
 	c.clock.now = c.clock.now.Add(c.takes)
 	if roomOnly && c.full {
-		return cell.Outcome{Verdict: cell.Refused, Reason: cell.ReasonNoRoom, RetryAfter: time.Second}
+		return cell.Outcome{Verdict: cell.Refused, Reason: cell.ReasonNoRoom, RetryAfter: c.wait}
 	}
 	return c.outcome
 }
@@ -109,6 +110,19 @@
 	require.Len(t, second.arrived, 1)
 }
 
+// TestLeastWait has cells without room in which a job would wait for different times. It must
+// wait in the one with the least work, and those that cannot be asked come last.
+func TestLeastWait(t *testing.T) {
+	t.Parallel()
+	long, short := &fakeCell{full: true, wait: time.Second, outcome: done}, &fakeCell{full: true, wait: time.Millisecond, outcome: done}
+	lost := &fakeCell{unreachable: true, outcome: done}
+	o, _ := submit(context.Background(), &clock{}, lost, long, short)
+	require.Equal(t, done, o)
+	require.Empty(t, lost.arrived)
+	require.Len(t, long.arrived, 1)
+	require.Len(t, short.arrived, 2)
+}
+
 // TestReachableFirst has a cell whose holder cannot be reached. It is asked last.
 func TestReachableFirst(t *testing.T) {
 	t.Parallel()
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -167,9 +167,14 @@
 	return p.prefer(id, p.all())[0]
 }
 
+// cellsAtHome is the number of cells of a data centre that are asked to run a job before one
+// of another data centre.
+const cellsAtHome = 2
+
 // Preferred returns the numbers of all cells in the order in which they are asked to run a
-// job that is not stored, submitted in a data centre: those of the data centre first, each
-// group in an order that depends on the id.
+// job that is not stored, submitted in a data centre: up to cellsAtHome of the data centre
+// first, then one elsewhere, then the others of the data centre, then the others elsewhere.
+// The order within each group depends on the id.
 func (p Plan) Preferred(id, zone string) []int {
 	local := p.InZone(zone)
 	others := slices.DeleteFunc(p.all(), func(n int) bool { return slices.Contains(local, n) })
@@ -177,7 +182,11 @@
 		first := p.HomeOf(id)
 		return append([]int{first}, p.prefer(id, slices.DeleteFunc(local, func(n int) bool { return n == first }))...)
 	}
-	return append(p.prefer(id, local), p.prefer(id, others)...)
+	local, others = p.prefer(id, local), p.prefer(id, others)
+	if len(local) <= cellsAtHome || len(others) == 0 {
+		return append(local, others...)
+	}
+	return slices.Concat(local[:cellsAtHome], others[:1], local[cellsAtHome:], others[1:])
 }
 
 func (p Plan) all() []int {
--- a/core/shard/shard_test.go
+++ b/core/shard/shard_test.go
@@ -131,6 +131,7 @@
 	p := fleet(1100, 3).Plan()
 	grown := shard.Plan{Cells: append(slices.Clone(p.Cells), shard.Cell{Name: "c18", Zone: zones[2]})}
 	counts := make([]int, len(p.Cells))
+	elsewhere := map[int]int{}
 	moved := 0
 	for i := range 6000 {
 		id := fmt.Sprintf("%016x", uint64(i)*0x9e3779b97f4a7c15)
@@ -138,8 +139,9 @@
 		order := p.Preferred(id, "orta")
 		require.Len(t, order, 18)
 		for k, n := range order {
-			require.Equal(t, k < 6, p.Cells[n].Zone == "orta")
+			require.Equal(t, k < 7 && k != 2, p.Cells[n].Zone == "orta")
 		}
+		elsewhere[order[2]]++
 		if home := grown.HomeOf(id); home != p.HomeOf(id) {
 			require.Equal(t, 18, home)
 			moved++
@@ -149,6 +151,12 @@
 		require.InDelta(t, 6000/18, count, 80, "cell %d", n)
 	}
 	require.InDelta(t, 6000/19, moved, 80)
+	require.Len(t, elsewhere, 12, "all cells elsewhere help")
+	for n, count := range elsewhere {
+		require.InDelta(t, 6000/12, count, 120, "cell %d", n)
+	}
+	few := fleet(60, 1).Plan()
+	require.Equal(t, few.InZone(zones[0]), few.Preferred("a", zones[0])[:len(few.InZone(zones[0]))])
 }
 
 // TestFormats encodes and decodes plans, also of the former format, which counts the cells,
