cell: a runner that answers is used for two more seconds when the directory loses it

Change: a runner that is missing from the directory, was not leaving and answers, stays in use for two seconds. One that does not answer, or was leaving, gets nothing, as before.

--- a/core/cell/admit.go
+++ b/core/cell/admit.go
@@ -51,7 +51,7 @@
 
 // admission decides whether j can be done in time beside the jobs that wait.
 func (c *Cell) admission(now time.Time, j *job) backlog.Admission {
-	capacity := c.capacity()
+	capacity := c.capacity(now)
 	if capacity == 0 {
 		return backlog.Admission{Admitted: true}
 	}
@@ -134,8 +134,8 @@
 
 // backlog returns the estimated time in milliseconds that the runners need for the
 // waiting tasks, without long-running ones.
-func (c *Cell) backlog() float64 {
-	capacity := c.capacity()
+func (c *Cell) backlog(now time.Time) float64 {
+	capacity := c.capacity(now)
 	if capacity == 0 {
 		return 0
 	}
@@ -173,11 +173,11 @@
 // packingEfficiency is the share of the cores that tasks can use.
 const packingEfficiency = 0.85
 
-// capacity returns the work that the runners can do in a millisecond.
-func (c *Cell) capacity() float64 {
+// capacity returns the work that the runners can do in a millisecond, as far as is known at now.
+func (c *Cell) capacity(now time.Time) float64 {
 	capacity := 0.0
 	for _, r := range c.sorted {
-		if r.inDirectory && !r.Draining && (r.fenced || !r.synced) {
+		if r.isListed(now) && !r.Draining && (r.fenced || !r.synced) {
 			capacity += float64(r.Capacity.CPU) * r.speed.rate()
 		}
 	}
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -164,7 +164,7 @@
 // many runners the directory holds.
 func (c *Cell) ReachableRunners(now time.Time) (answering, listed int) {
 	for _, r := range c.sorted {
-		if !r.inDirectory {
+		if !r.isListed(now) {
 			continue
 		}
 		listed++
@@ -236,7 +236,7 @@
 	for _, r := range c.sorted {
 		if r.synced {
 			synced++
-		} else if r.inDirectory {
+		} else if r.isListed(now) {
 			allSynced = false
 		}
 	}
--- a/core/cell/directory.go
+++ b/core/cell/directory.go
@@ -72,7 +72,7 @@
 }
 
 // UpdateDirectory replaces the directory of runners. Runners that are not in it any more
-// receive no new work, but keep their runs.
+// keep their runs, and receive new work for unlistedGrace if they answer.
 func (c *Cell) UpdateDirectory(now time.Time, entries []RunnerInfo) {
 	present := map[string]bool{}
 	for _, entry := range entries {
@@ -82,7 +82,7 @@
 	for _, r := range c.sorted {
 		if r.inDirectory && !present[r.ID] {
 			c.log("event", "runner", "runner", r.ID, "state", "unlisted", "runs", len(r.runs))
-			r.inDirectory = false
+			r.inDirectory, r.unlistedAt = false, now
 		}
 	}
 	c.schedulePass()
@@ -109,7 +109,7 @@
 		r.speed = speed{kind: kind}
 	}
 	r.RunnerInfo = entry
-	r.inDirectory = true
+	r.inDirectory, r.unlistedAt = true, time.Time{}
 	if replaced && r.incarnation != 0 {
 		c.log("event", "runner", "runner", entry.ID, "state", "restarted", "born", entry.Incarnation, "addr", entry.Addr)
 		c.fence(now, r)
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -51,7 +51,7 @@
 func (c *Cell) usable(now time.Time, least int) []*runner {
 	list := c.scratch[:0]
 	for _, r := range c.sorted {
-		if r.free().CPU >= least && r.inDirectory && !r.Draining && r.fenced && !r.health.isBackingOff(now) && !r.isSilent(now, c.answerTimeout(r)) {
+		if r.free().CPU >= least && r.isListed(now) && !r.Draining && r.fenced && !r.health.isBackingOff(now) && !r.isSilent(now, c.answerTimeout(r)) {
 			list = append(list, r)
 		}
 	}
@@ -205,7 +205,7 @@
 		return false
 	}
 	return slices.ContainsFunc(c.sorted, func(r *runner) bool {
-		return r.Service == t.job.Queue.Service && r.inDirectory && !r.Draining && r.fenced && !r.isSilent(now, c.Settings.SilenceTimeout) &&
+		return r.Service == t.job.Queue.Service && r.isListed(now) && !r.Draining && r.fenced && !r.isSilent(now, c.Settings.SilenceTimeout) &&
 			r.Capacity.fits(required) && (t.spec().RequiredLabel == "" || slices.Contains(r.Labels, t.spec().RequiredLabel)) &&
 			t.adviceAllows(now, r) && !slices.Contains(t.triedRunners, r)
 	})
--- a/core/cell/lost_test.go
+++ b/core/cell/lost_test.go
@@ -132,3 +132,54 @@
 		}
 	}
 }
+
+// TestUnlisted removes runners that answer from the directory, as the store does with those
+// that could not reach it for some time. They are back soon if they are alive, so their runs
+// must go on and further tasks must start there meanwhile, but not later, and never on one
+// that was leaving or does not answer.
+func TestUnlisted(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name    string
+		prepare func(r *simRunner)
+		after   time.Duration // from the removal to the submission
+		starts  bool
+	}{
+		{"answers", func(*simRunner) {}, 100 * time.Millisecond, true},
+		{"answers, later", func(*simRunner) {}, 1800 * time.Millisecond, true},
+		{"answers, but is gone by now", func(*simRunner) {}, 2200 * time.Millisecond, false},
+		{"was leaving", func(r *simRunner) { r.draining = true }, 100 * time.Millisecond, false},
+		{"silent", func(r *simRunner) { r.unreachable = true }, 1500 * time.Millisecond, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(1, 1, 32000)
+			w.takeOver()
+			w.run(time.Second)
+			r := w.runners["r0"]
+			w.submit(newJob(1, true, work.Step{Count: 1, CPU: 14000, Estimate: 3000}))
+			w.run(100 * time.Millisecond)
+			require.Len(t, r.runs, 1)
+			test.prepare(r)
+			w.updateDirectory()
+			r.inDirectory = false
+			w.updateDirectory()
+			for range 5 { // the directory is read again and again
+				w.run(test.after / 5)
+				w.updateDirectory()
+			}
+			w.submit(newJob(2, true, work.Step{Count: 1, CPU: 14000, Estimate: 100}))
+			w.run(60 * time.Millisecond)
+			if test.starts {
+				require.Len(t, r.runs, 2)
+			} else {
+				require.NotContains(t, r.highestRun, work.Task{Job: newJob(2, true).ID})
+			}
+			require.Zero(t, w.endCounts[order.Stopped], "the run goes on")
+			r.inDirectory, r.unreachable, r.draining = true, false, false
+			w.updateDirectory()
+			w.run(20 * time.Second)
+			checkSettled(t, w)
+		})
+	}
+}
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -15,10 +15,12 @@
 	for _, r := range c.sorted {
 		runs += len(r.runs)
 		orphans += r.orphans
-		if !r.inDirectory {
+		if !r.isListed(now) {
 			continue
 		}
-		inDirectory++
+		if r.inDirectory {
+			inDirectory++
+		}
 		capacity += r.Capacity.CPU
 		used += r.used.CPU
 		switch {
@@ -43,5 +45,5 @@
 	}
 	c.log("event", "load", "jobs", len(c.jobs), "waiting", len(c.ready), "tasks", tasks, "runs", runs, "strays", orphans,
 		"listed", inDirectory, "usable", usable, "resting", backingOff, "charged", failing, "unfenced", unfenced, "leaving", leaving,
-		"cpu", capacity, "used", used, "backlog", c.backlog(), "safe", c.takenOver, "start", c.mayStart(now))
+		"cpu", capacity, "used", used, "backlog", c.backlog(now), "safe", c.takenOver, "start", c.mayStart(now))
 }
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -28,6 +28,7 @@
 type runner struct {
 	RunnerInfo
 	inDirectory     bool
+	unlistedAt      time.Time // when the directory was first read without it; zero if it is in the directory
 	incarnation     int64 // start time of the runner; zero if not known
 	tokensIssued    int64 // number of tokens used so far
 	token           int64
@@ -91,6 +92,16 @@
 	return r.Capacity.sub(r.used)
 }
 
+// unlistedGrace is how long a runner that is missing from the directory may be used. Entries
+// that the store has removed although the runner is alive are back within that time.
+const unlistedGrace = 2 * time.Second
+
+// isListed reports whether r is in the directory or, as far as that can be told, will soon be
+// there again.
+func (r *runner) isListed(now time.Time) bool {
+	return r.inDirectory || (!r.Draining && r.unansweredSince.IsZero() && now.Sub(r.unlistedAt) < unlistedGrace)
+}
+
 // isSilent reports whether an order has been without a reply for longer than limit.
 func (r *runner) isSilent(now time.Time, limit time.Duration) bool {
 	return !r.unansweredSince.IsZero() && now.Sub(r.unansweredSince) > limit
--- a/core/cell/runner_world_test.go
+++ b/core/cell/runner_world_test.go
@@ -27,6 +27,7 @@
 	kind         string
 	rack         string
 	inDirectory  bool
+	draining     bool // as stated in its directory entry
 	unreachable  bool
 	dead         bool
 	refusesConns bool    // whether connections are refused while it is dead
@@ -109,7 +110,7 @@
 // directoryEntry returns the directory entry of the current incarnation.
 func (r *simRunner) directoryEntry() cell.RunnerInfo {
 	return cell.RunnerInfo{
-		ID: r.id, Addr: r.id, Service: "s", MachineKind: r.kind, Rack: r.rack, Incarnation: r.startTime, Labels: []string{"a", r.rack},
+		ID: r.id, Addr: r.id, Service: "s", MachineKind: r.kind, Rack: r.rack, Incarnation: r.startTime, Labels: []string{"a", r.rack}, Draining: r.draining,
 		Capacity: cell.Resources{CPU: r.cpu, Memory: 1 << 20},
 	}
 }
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -46,13 +46,13 @@
 	if reason, after := c.refusalReason(now, j); reason != "" {
 		c.Metrics.Count("refused_"+reason, 1)
 		c.log("event", "refuse", "job", w.ID, "queue", w.Queue.Name, "reason", reason, "tasks", w.TaskCount(),
-			"after", after, "backlog", c.backlog())
+			"after", after, "backlog", c.backlog(now))
 		reply(Outcome{Verdict: Refused, Reason: reason, RetryAfter: after})
 		return
 	}
 	if submission.RoomOnly && !j.inherited && !c.hasRoom(now, j) {
 		c.Metrics.Count("refused_"+ReasonNoRoom, 1)
-		reply(Outcome{Verdict: Refused, Reason: ReasonNoRoom, RetryAfter: fromMilliseconds(c.backlog())})
+		reply(Outcome{Verdict: Refused, Reason: ReasonNoRoom, RetryAfter: fromMilliseconds(c.backlog(now))})
 		return
 	}
 	j.waiting = append(j.waiting, waiter{submission.Caller, reply})
