--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -29,8 +29,8 @@
 	RunnerInfo
 	inDirectory     bool
 	unlistedAt      time.Time // when the directory was first read without it; zero if it is in the directory
-	incarnation     int64 // start time of the runner; zero if not known
-	tokensIssued    int64 // number of tokens used so far
+	incarnation     int64     // start time of the runner; zero if not known
+	tokensIssued    int64     // number of tokens used so far
 	token           int64
 	fenced          bool           // it has answered under the current token
 	synced          bool           // it has answered under a token of this holder, so orders of previous holders are void
