handover, election, proxy, promise, cell: a cell is handed over when that can be written, and goes on until then

(b) A former holder that shut down was named as a successor again: only standbys said that they leave. And the promise of an instance that shuts down lasted 6 s only if it had sent a hello message as a standby before. (c) With both instances of a data centre leaving, no standby elsewhere was chosen. (d) A handover without an answer that the store carries out late makes another instance the holder while the former one goes on, by a heartbeat for 0.6 s, by promises for up to 6 s. The next one took its leases for ended with its own term; a runner that only the former one reached could have been given up too early (two runs at once).

Changes: core/handover attempts a handover while heartbeats are written, until the process must end, and lets the cell go on otherwise; a term that ends without a successor is recorded in the store beside the messages to the standbys; standbys that leave are replaced at once, also by a holder that leaves; the promise of one that leaves is always the long one; successors are standbys only; the next holder allows for the lease that the former one may still have, unless that says that it has ended; runs that have ended are not adopted again. A proxy seeks a holder for a quarter of the time that a job has, over all cells, and calls a lost one no more; what is known of a holder ends with its epoch.

Ruled out: handing a cell over without the store, since other standbys would have to agree.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -41,7 +41,7 @@
 	Epoch           int64  // version of the holder's row, higher than in all previous terms
 	TermNumber      int    // number of holders so far, including this one
 	PreviousRunners int    // number of runners of the previous holder; zero if there was none
-	// PreviousEnd is when the previous holder had certainly stopped extending leases; zero
+	// PreviousEnd is when the previous holder has certainly stopped extending leases; zero
 	// means when the term begins.
 	PreviousEnd time.Time
 }
@@ -86,9 +86,9 @@
 // starts nothing before LoadJobs has been called and ExtendLease has granted time.
 func New(t Term, s Settings, now time.Time) *Cell {
 	s = s.withDefaults()
-	previousEnd := now
-	if !t.PreviousEnd.IsZero() && t.PreviousEnd.Before(now) {
-		previousEnd = t.PreviousEnd
+	previousEnd := t.PreviousEnd
+	if previousEnd.IsZero() {
+		previousEnd = now
 	}
 	return &Cell{
 		Term:             t,
@@ -101,14 +101,18 @@
 		writer:           rowWriter{transactions: map[int64]*transaction{}},
 		estimates:        estimates{queues: map[string]*queueRunTime{}, kinds: map[string]*kindSpeed{}},
 		endedJobs:        endedJobs{jobs: map[string]jobEnd{}},
-		takeoverDeadline: previousEnd.Add(s.Lease + s.Lease/leaseSlackDivisor),
+		takeoverDeadline: previousEnd.Add(s.longestLease()),
 		takenOver:        t.TermNumber <= 1,
 	}
 }
 
-// leaseSlackDivisor sets the safety margin for the leases of previous holders: a new
-// holder waits for 1/leaseSlackDivisor of a lease longer than the lease itself.
-const leaseSlackDivisor = 16
+// PreviousEnded records that the previous holder has ended its term: it extends no lease any
+// more.
+func (c *Cell) PreviousEnded(now time.Time) {
+	if deadline := now.Add(c.Settings.longestLease()); deadline.Before(c.takeoverDeadline) {
+		c.takeoverDeadline = deadline
+	}
+}
 
 // Deposed reports whether the term has ended because another instance holds the cell.
 // A deposed Cell does nothing.
--- a/core/cell/ends.go
+++ b/core/cell/ends.go
@@ -22,6 +22,7 @@
 			continue
 		}
 		r.unackedEnds[e.Number] = false
+		r.ended.add(now, runKey{e.Task, e.Run})
 		c.processEnd(now, r, e)
 	}
 	r.advanceAcked()
--- a/core/cell/hold.go
+++ b/core/cell/hold.go
@@ -207,6 +207,9 @@
 	for _, a := range active {
 		key := runKey{a.Task, a.Run}
 		x := r.runs[key]
+		if x == nil && r.ended.contains(key) {
+			continue
+		}
 		if x == nil {
 			x = c.adopt(now, r, key)
 		}
--- a/core/cell/lost_test.go
+++ b/core/cell/lost_test.go
@@ -183,3 +183,33 @@
 		})
 	}
 }
+
+// TestPreviousHolderGoesOn has a runner that the next holder of a cell cannot reach and the
+// previous one can, while the latter does not know yet that it was replaced and starts a task
+// there. The next one must not start that task before all leases of the previous one have
+// expired; once that has said that it has ended, it need not wait as long.
+func TestPreviousHolderGoesOn(t *testing.T) {
+	t.Parallel()
+	for _, ended := range []bool{false, true} {
+		w := newWorld(1, 2, 32000)
+		previous := w.takeOver()
+		w.run(time.Second)
+		w.runners["r1"].unfit = true
+		j := newJob(1, true, work.Step{Count: 1, CPU: 14000, Estimate: 2500})
+		w.submit(j)
+		w.run(20 * time.Millisecond)
+		require.Len(t, w.runners["r0"].runs, 1)
+		w.runners["r1"].unfit = false
+		next := w.takeOverFrom(w.now.Add(600 * time.Millisecond))
+		next.unreachableRunners = map[string]bool{"r0": true}
+		if ended {
+			previous.kill()
+			next.exec(func() { next.cell.PreviousEnded(w.now) })
+		}
+		w.run(1200 * time.Millisecond)
+		require.Equal(t, ended, len(w.runners["r1"].runs) == 1)
+		w.run(15 * time.Second)
+		require.Empty(t, w.violations)
+		require.True(t, w.finished[work.Task{Job: j.ID}])
+	}
+}
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -42,6 +42,7 @@
 	ackBaseKnown    bool           // acked covers the ends before the first one reported in this incarnation
 	unackedEnds     map[int64]bool // by number above acked; true once the effects are stored
 	runs            map[runKey]*run
+	ended           endedRuns
 	used            Resources // resources of the runs
 	plannedMembers  int       // number of members of the gang that is being placed here
 	orphans         int       // number of runs whose resources are not known
@@ -189,7 +190,7 @@
 	r.incarnation = h.Incarnation
 	r.clock, r.maxDeadline, r.acked, r.ackBaseKnown = h.Clock, 0, 0, false
 	r.clockAt = now
-	r.unackedEnds = map[int64]bool{}
+	r.unackedEnds, r.ended = map[int64]bool{}, endedRuns{}
 	r.confirmedHold, r.lastStoredStart = time.Time{}, time.Time{}
 	r.health = health{}
 	c.fence(now, r)
--- a/core/cell/settings.go
+++ b/core/cell/settings.go
@@ -44,6 +44,13 @@
 	return s
 }
 
+// leaseSlackDivisor sets the safety margin for the leases of previous holders: a new
+// holder waits for 1/leaseSlackDivisor of a lease longer than the lease itself.
+const leaseSlackDivisor = 16
+
+// longestLease returns how long a lease that a previous holder has granted may last.
+func (s Settings) longestLease() time.Duration { return s.Lease + s.Lease/leaseSlackDivisor }
+
 // ApplySettings replaces the settings of c by s. Zero values select the defaults.
 func (c *Cell) ApplySettings(s Settings) {
 	c.Settings = s.withDefaults()
--- a/core/election/elector.go
+++ b/core/election/elector.go
@@ -188,6 +188,9 @@
 				continue
 			}
 			if json.Unmarshal(r.Value, &b) == nil && b != e.heartbeat {
+				if b.Ended < r.Version {
+					e.releasedEpoch = max(e.releasedEpoch, b.Ended)
+				}
 				e.heartbeat, e.lastHeartbeat, e.holderRunners = b, e.sentBy(b, now), b.Runners
 			}
 			e.heartbeatVersion = r.Version
@@ -216,7 +219,11 @@
 		e.Leader.EndTerm(previousTerm, "the holder row names "+h.Node)
 	}
 	if e.leading {
-		e.term = Term{Epoch: r.Version, Number: h.TermNumber, PreviousRunners: e.holderRunners, PreviousEnd: e.previousEnd}
+		e.term = Term{Epoch: r.Version, Number: h.TermNumber, PreviousRunners: e.holderRunners, PreviousEpoch: h.Previous, PreviousEnd: e.previousEnd}
+		if h.Previous != 0 {
+			// The lease of the previous holder is by a heartbeat, or by promises of all standbys.
+			e.term.PreviousEnd = latest(now.Add(e.Settings.LeaseDuration), e.PromisedUntil())
+		}
 		e.lastWritten = time.Time{}
 		e.Leader.BeginTerm(e.term)
 	}
@@ -340,7 +347,7 @@
 		return true
 	}
 	_ = e.Log.Log("event", "resign", "to", to.Node, "epoch", term.Epoch)
-	if e.writeHolder(ctx, term.Epoch, standbysVersion, Holder{Member: to, TermNumber: term.Number + 1}, time.Time{}) {
+	if e.writeHolder(ctx, term.Epoch, standbysVersion, Holder{Member: to, TermNumber: term.Number + 1, Previous: term.Epoch}, time.Time{}) {
 		return true
 	}
 	e.mu.Lock()
--- a/core/election/member.go
+++ b/core/election/member.go
@@ -19,6 +19,10 @@
 type Holder struct {
 	Member
 	TermNumber int `json:"round"` // number of terms up to and including this one
+
+	// Previous is the epoch of the holder that has handed the cell over; zero if this one has
+	// claimed it.
+	Previous int64 `json:"previous,omitempty"`
 }
 
 // Heartbeat is the value of the heartbeat row.
@@ -29,6 +33,9 @@
 
 	// Sent is when it was sent, in nanoseconds on the clock of the holder; zero if not stated.
 	Sent int64 `json:"sent,omitempty"`
+
+	// Ended is the epoch of a term that the holder has ended by itself; zero if it goes on.
+	Ended int64 `json:"ended,omitempty"`
 }
 
 // Term describes the period during which one instance holds a cell.
@@ -36,8 +43,10 @@
 	Epoch           int64 // version of the holder row; the fencing token
 	Number          int   // term number, counted from 1
 	PreviousRunners int   // runners that the previous holder last reported
-	// PreviousEnd is when the lease of the previous holder had certainly expired; zero if
-	// that is not known.
+	// PreviousEpoch is the epoch of the holder that has handed the cell over; zero if none has.
+	PreviousEpoch int64
+	// PreviousEnd is when the lease of the previous holder will certainly have expired; zero if
+	// it has by now. A holder that has handed the cell over may not know it and go on.
 	PreviousEnd time.Time
 }
 
--- a/core/election/standbys.go
+++ b/core/election/standbys.go
@@ -153,6 +153,19 @@
 	e.releasedEpoch = max(e.releasedEpoch, epoch)
 }
 
+// Release records in the store that the term t of this instance has ended, so that a standby
+// takes over at once. The term must be over. One attempt is made.
+func (e *Elector) Release(ctx context.Context, t Term) {
+	e.Released(t.Epoch)
+	limited, cancel := context.WithTimeout(ctx, e.Settings.StoreTimeout)
+	defer cancel()
+	written, err := e.Store.Write(limited, table.Write{Ops: []table.Op{
+		{Key: e.key(HolderRow), IfVersion: t.Epoch, CheckOnly: true},
+		{Key: e.key(HeartbeatRow), IfVersion: table.AnyVersion, Value: encode(Heartbeat{Incarnation: e.Self.Incarnation, Ended: t.Epoch})},
+	}})
+	_ = e.Log.Log("event", "release", "epoch", t.Epoch, "written", written.Committed, "err", err)
+}
+
 // Promise calls record, which records a promise not to take over, unless a claim of this
 // instance may still take effect. It reports whether it did.
 func (e *Elector) Promise(record func()) bool {
--- a/core/election/takeover.go
+++ b/core/election/takeover.go
@@ -75,12 +75,17 @@
 }
 
 // previousEnd returns when the lease of the holder has expired, provided that no heartbeat
-// was written since the last one seen; zero if there is no holder.
+// was written since the last one seen; zero if there is no holder. A claim comes after that,
+// or after the end of the holder.
 func (s situation) previousEnd(lease time.Duration) time.Time {
 	if s.seen.holder == 0 {
 		return time.Time{}
 	}
-	return latest(s.lastHeartbeat.Add(lease), s.promisedUntil)
+	end := latest(s.lastHeartbeat.Add(lease), s.promisedUntil)
+	if end.After(s.now) {
+		return s.now
+	}
+	return end
 }
 
 // prober probes the address of the holder.
--- a/core/eventloop/loop.go
+++ b/core/eventloop/loop.go
@@ -293,6 +293,13 @@
 
 func (m deposeMessage) Apply(c *cell.Cell, now time.Time) { c.Depose(now, m.reason) }
 
+// PreviousEnded notifies the cell that the previous holder has ended its term.
+func (l *Loop) PreviousEnded() { l.Post(previousEndedMessage{}) }
+
+type previousEndedMessage struct{}
+
+func (previousEndedMessage) Apply(c *cell.Cell, now time.Time) { c.PreviousEnded(now) }
+
 // Drain makes the cell start no further tasks, so that it can be handed over.
 func (l *Loop) Drain() { l.Post(drainMessage{}) }
 
--- a/core/promise/granted.go
+++ b/core/promise/granted.go
@@ -29,14 +29,15 @@
 }
 
 // RecordReply records a reply to a hello message, received at now, and gives the promise
-// that goes with it. The promise is longer if the holder reports no recent heartbeat.
+// that goes with it. The promise is longer if the holder reports no recent heartbeat, or if
+// this instance shuts down: the next incarnation keeps it.
 // Replies of instances that are not the holder are ignored.
 func (g *Granted) RecordReply(now time.Time, reply HelloReply) {
 	if !reply.Leading {
 		return
 	}
 	validFor := NormalDuration
-	if reply.heartbeatMissing() {
+	if g.leaving || reply.heartbeatMissing() {
 		validFor = ExtendedDuration
 	}
 	g.repliedAt = now
@@ -46,20 +47,9 @@
 	}
 }
 
-// Leave makes all further hello messages say that this instance shuts down.
-func (g *Granted) Leave() { g.leaving = true }
-
-// Extend extends the last promise to the longest one, for an instance that takes over no
+// Leave makes all further hello messages say that this instance shuts down and takes over no
 // more.
-func (g *Granted) Extend() {
-	if g.repliedAt.IsZero() {
-		return
-	}
-	g.lastHello.PromiseDuration = span.Of(ExtendedDuration)
-	if end := g.repliedAt.Add(ExtendedDuration); end.After(g.until) {
-		g.until = end
-	}
-}
+func (g *Granted) Leave() { g.leaving = true }
 
 // LastReply returns when the holder last replied; zero if it never did.
 func (g *Granted) LastReply() time.Time { return g.repliedAt }
--- a/core/promise/received.go
+++ b/core/promise/received.go
@@ -81,6 +81,9 @@
 	return ok && now.Sub(e.helloAt) <= within
 }
 
+// Leaving reports whether the last hello message of a node said that it shuts down.
+func (r *Received) Leaving(node string) bool { return r.peers[node].leaving }
+
 // Recent returns the peers from which a hello message was received within the given time,
 // in no particular order.
 func (r *Received) Recent(now time.Time, within time.Duration) []election.Member {
@@ -94,14 +97,14 @@
 }
 
 // BestSuccessor returns the peer best suited to hold a cell next, of those that sent a
-// hello message within the given time and do not shut down: one in the given data centre if
-// there is any, and among these the one that would have the fewest cells for its cores, then
-// the one that holds the fewest, then the one that started last. It also returns how many
-// cells that peer holds. Ok is false if there is none.
-func (r *Received) BestSuccessor(now time.Time, within time.Duration, zone string) (m election.Member, cells int, ok bool) {
+// hello message within the given time, do not shut down and for which usable returns true:
+// one in the given data centre if there is any, and among these the one that would have the
+// fewest cells for its cores, then the one that holds the fewest, then the one that started
+// last. It also returns how many cells that peer holds. Ok is false if there is none.
+func (r *Received) BestSuccessor(now time.Time, within time.Duration, usable func(m election.Member) bool, zone string) (m election.Member, cells int, ok bool) {
 	var best entry
 	for _, e := range r.peers {
-		if !e.leaving && now.Sub(e.helloAt) <= within && (!ok || e.preferredTo(best, zone)) {
+		if !e.leaving && now.Sub(e.helloAt) <= within && usable(e.member) && (!ok || e.preferredTo(best, zone)) {
 			best, ok = e, true
 		}
 	}
--- a/core/proxy/hello.go
+++ b/core/proxy/hello.go
@@ -82,7 +82,7 @@
 		p.Elector.Refresh()
 		return
 	}
-	p.recordCall(true)
+	p.recordCall(version, true)
 	p.Elector.ReportHeartbeat(reply.Heartbeat, reply.HeartbeatVersion, reply.Timestamp)
 	p.Elector.Promise(func() {
 		p.mu.Lock()
@@ -91,24 +91,26 @@
 	})
 }
 
-// Leave notifies the holder that this instance shuts down and must not become the holder,
-// and promises it for as long as possible not to take over. The elector must have stopped
-// claiming.
+// Leave notifies the holder, with this hello message and all further ones, that this instance
+// shuts down and must not become the holder. The elector must have stopped claiming.
 func (p *Proxy) Leave(ctx context.Context) {
 	p.mu.Lock()
 	p.granted.Leave()
 	exchanging := p.exchanging
 	p.mu.Unlock()
-	p.Elector.Promise(func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.granted.Extend()
-	})
 	if exchanging {
 		p.sendHello(ctx)
 	}
 }
 
+// LeavingStandbys returns the standbys of this instance that shut down.
+func (p *Proxy) LeavingStandbys() []string {
+	standbys, _ := p.Elector.Standbys()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(standbys), func(node string) bool { return !p.received.Leaving(node) })
+}
+
 // SilentStandbys returns the standbys of this instance from which no hello message was
 // received within the given time.
 func (p *Proxy) SilentStandbys(within time.Duration) []string {
@@ -124,9 +126,25 @@
 	Epoch int64 `json:"epoch"`
 }
 
-// AnnounceHolder notifies an instance that the row of the holder names it.
-func (p *Proxy) AnnounceHolder(ctx context.Context, addr string) error {
-	return p.Client.Call(ctx, addr, p.method(methodHolder), struct{}{}, nil)
+// handed is the message of a holder that has handed the cell over to the receiver.
+type handed struct {
+	Epoch int64 `json:"epoch,omitempty"` // of the term that has ended
+}
+
+// AnnounceHolder notifies an instance that the row of the holder names it, and that the term
+// of the given epoch, of this instance, has ended.
+func (p *Proxy) AnnounceHolder(ctx context.Context, addr string, ended int64) error {
+	return p.Client.Call(ctx, addr, p.method(methodHolder), handed{ended}, nil)
+}
+
+// handleHanded looks whether the row of the holder names this instance, since the message
+// itself proves nothing, and notifies the cell of the end of the term before.
+func (p *Proxy) handleHanded(ctx context.Context, m handed) (struct{}, error) {
+	err := p.Elector.Lookup(ctx)
+	if l := p.currentLoop(); l != nil && m.Epoch != 0 && l.Term.PreviousEpoch == m.Epoch {
+		l.PreviousEnded()
+	}
+	return struct{}{}, err
 }
 
 // AnnounceRelease notifies the peers that recently sent a hello message that the holder of
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,7 +36,7 @@
 // Timeouts and intervals of calls.
 const (
 	attemptTimeout      = 400 * time.Millisecond // of one attempt
-	holderSearchTimeout = 120 * time.Millisecond // for finding a holder, before a job is refused
+	holderSearchTimeout = 120 * time.Millisecond // for finding a holder, before a question fails
 	retryInterval       = 10 * time.Millisecond
 	helloInterval       = 200 * time.Millisecond
 	helloTimeout        = 700 * time.Millisecond
@@ -74,7 +75,7 @@
 	received    promise.Received // promises of the other instances to this one
 	granted     promise.Granted  // promises of this instance to the holder
 	exchanging  bool             // this instance exchanges hello messages with the holder
-	failingFrom time.Time        // since when calls to the holder fail; zero if the last one was answered
+	reach       reach
 }
 
 // RegisterMethods registers the methods of the cell that other instances call.
@@ -124,9 +125,7 @@
 		return queryReply{Count: v}, toFault(err)
 	})
 	peer.Handle(s, p.method(methodHello), p.handleHello)
-	peer.Handle(s, p.method(methodHolder), func(ctx context.Context, _ struct{}) (struct{}, error) {
-		return struct{}{}, p.Elector.Lookup(ctx) // the message itself proves nothing
-	})
+	peer.Handle(s, p.method(methodHolder), p.handleHanded)
 	peer.Handle(s, p.method(methodRelease), func(_ context.Context, r release) (struct{}, error) {
 		if _, epoch, _ := p.Elector.Holder(); epoch == r.Epoch {
 			p.Elector.Released(r.Epoch)
@@ -268,13 +267,16 @@
 	return p.loop
 }
 
-// Successor returns the member best suited to hold the cell next, of those that recently
+// Successor returns the standby best suited to hold the cell next, of those that recently
 // sent a hello message, preferably one in the data centre of the cell, and the number of
 // cells that it holds. Ok is false if there is none.
 func (p *Proxy) Successor() (m election.Member, cells int, ok bool) {
+	standbys, known := p.Elector.Standbys()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.received.BestSuccessor(p.Clock.Now(), helloTimeout, p.Zone)
+	return p.received.BestSuccessor(p.Clock.Now(), helloTimeout, func(m election.Member) bool {
+		return !known || slices.Contains(standbys, m.Node)
+	}, p.Zone)
 }
 
 // HolderReachable reports whether the holder replied to a recent hello message.
@@ -295,37 +297,43 @@
 		lastReply := p.granted.LastReply()
 		return !lastReply.IsZero() && p.Clock.Now().Sub(lastReply) < helloTimeout
 	}
-	return p.loop != nil || (version != 0 && p.failingFrom.IsZero())
+	return p.loop != nil || (version != 0 && p.reach.failingSince(version).IsZero())
 }
 
 // FailingSince returns since when no call to the holder was answered; zero if the last one
 // was.
 func (p *Proxy) FailingSince() time.Time {
+	_, version, _ := p.Elector.Holder()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.failingFrom
+	return p.reach.failingSince(version)
 }
 
-// recordCall records whether a call reached the holder.
-func (p *Proxy) recordCall(reached bool) {
+// holderLost reports whether calls to the holder have failed for some time. It is then
+// called by hello messages and probes only.
+func (p *Proxy) holderLost() bool {
+	_, version, _ := p.Elector.Holder()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	switch {
-	case reached:
-		p.failingFrom = time.Time{}
-	case p.failingFrom.IsZero():
-		p.failingFrom = p.Clock.Now()
-	}
+	return p.loop == nil && p.reach.lost(p.Clock.Now(), version)
+}
+
+// recordCall records whether a call reached the holder of an epoch.
+func (p *Proxy) recordCall(epoch int64, reached bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reach.record(p.Clock.Now(), epoch, reached)
 }
 
 // Probe calls the holder, for an instance whose last call did not reach it.
 func (p *Proxy) Probe(ctx context.Context) {
 	limited, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
+	_, version, _ := p.Elector.Holder()
 	var v queryReply
 	_, err := p.callHolder(limited, methodPending, query{}, &v, func(context.Context, *eventloop.Loop) error { return nil })
 	if errors.Is(limited.Err(), context.DeadlineExceeded) && err != nil {
-		p.recordCall(false)
+		p.recordCall(version, false)
 	}
 }
 
@@ -341,7 +349,7 @@
 		}
 		err = p.Client.Call(ctx, h.Addr, p.method(method), params, result)
 		if err == nil || ctx.Err() == nil {
-			p.recordCall(err == nil || isBusy(err))
+			p.recordCall(version, err == nil || isBusy(err))
 		}
 		if err != nil {
 			p.Elector.Refresh()
--- a/core/proxy/submit.go
+++ b/core/proxy/submit.go
@@ -11,6 +11,20 @@
 	"gypsumward/core/work"
 )
 
+// Bounds of the time for which a holder is sought, as a part of the time that a job has.
+const (
+	searchDivisor = 4
+	minSearchTime = 20 * time.Millisecond
+	maxSearchTime = 400 * time.Millisecond
+)
+
+// searchTime returns how long after its arrival a job that no holder can have is refused.
+func searchTime(j *work.Job) time.Duration {
+	chain := j.CriticalPath(func(step int) float64 { return float64(j.Steps[step].Estimate) })
+	objective := time.Duration((j.Queue.Stretch*chain + float64(j.Queue.TargetLatency)) * float64(time.Millisecond))
+	return min(max(objective/searchDivisor, minSearchTime), maxSearchTime)
+}
+
 // Submit submits a job that arrived at the given time and returns the outcome, a refusal if
 // roomOnly is true and not all of its first tasks can start at once. It tries one holder
 // after the other until one returns a final outcome or ctx ends. If it gives up while a
@@ -18,7 +32,7 @@
 func (p *Proxy) Submit(ctx context.Context, j work.Job, arrived time.Time, roomOnly bool) cell.Outcome {
 	submission := cell.Submission{Job: j}
 	caller := p.Self.Incarnation + "/" + strconv.FormatInt(p.submissions.Add(1), 10)
-	began := p.Clock.Now()
+	limit := arrived.Add(searchTime(&j))
 	var err error
 	for attempt := 1; ; attempt++ {
 		var o cell.Outcome
@@ -32,7 +46,7 @@
 		}
 		submission.Resubmitted = submission.Resubmitted || maybeHandled || (err == nil && o.Verdict == cell.OutcomeUnknown)
 		p.Elector.Refresh()
-		if ctx.Err() != nil || (!submission.Resubmitted && p.Clock.Now().Sub(began) > holderSearchTimeout) {
+		if ctx.Err() != nil || (!submission.Resubmitted && p.Clock.Now().After(limit)) {
 			break
 		}
 		p.awaitRetry(ctx)
@@ -42,7 +56,7 @@
 		o = cell.Outcome{Verdict: cell.OutcomeUnknown, Reason: ReasonNoHolder}
 		p.notifyLeave(j.ID, submission.Caller)
 	}
-	_ = p.Log.Log("event", "nosubmit", "job", j.ID, "queue", j.Queue.Name, "open", submission.Resubmitted, "took", p.Clock.Now().Sub(began),
+	_ = p.Log.Log("event", "nosubmit", "job", j.ID, "queue", j.Queue.Name, "open", submission.Resubmitted, "took", p.Clock.Now().Sub(arrived),
 		"gone", ctx.Err() != nil, "err", err)
 	return o
 }
@@ -73,9 +87,12 @@
 // ReasonNoHolder is the reason of an outcome when no holder has replied.
 const ReasonNoHolder = "holder"
 
-// submitOnce submits a job to the current holder and waits for the outcome until the
-// holder changes.
+// submitOnce submits a job to the current holder, unless it is lost, and waits for the
+// outcome until the holder changes.
 func (p *Proxy) submitOnce(ctx context.Context, submission cell.Submission) (o cell.Outcome, maybeHandled bool, err error) {
+	if p.holderLost() {
+		return cell.Outcome{}, false, ErrNoHolder
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	_, version, _ := p.Elector.Holder()
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -39,7 +39,7 @@
 
 // Times of a shutdown, measured from the signal.
 const (
-	handoverTimeout = 600 * time.Millisecond  // limit for the handover of cells
+	handoverTimeout = 600 * time.Millisecond  // of calls for a handover, and of what follows a failed one
 	drainTime       = 2500 * time.Millisecond // until clients have been directed to other instances
 	killMargin      = 700 * time.Millisecond  // kept free of the time until the process is killed
 )
@@ -350,15 +350,16 @@
 	start := time.Now()
 	h.draining.Store(true)
 	_ = h.log.Log("event", "stop")
+	grace := h.settings.Current().ShutdownGrace - killMargin
 	var handovers sync.WaitGroup
 	for _, p := range h.participants() {
 		p.elector.StopClaiming()
-		handovers.Go(p.leave)
+		handovers.Go(func() { p.leave(h.clock.Now().Add(grace - handoverTimeout)) })
 	}
 	handovers.Go(func() { h.roster.Deregister(context.Background()) })
 	handovers.Wait()
 	time.Sleep(drainTime - time.Since(start))
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(h.settings.Current().ShutdownGrace-killMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace))
 	defer cancel()
 	for _, p := range servers {
 		_ = p.Stop(ctx)
--- a/gypsumward/hosted/participant.go
+++ b/gypsumward/hosted/participant.go
@@ -10,6 +10,7 @@
 
 	"gypsumward/core/election"
 	"gypsumward/core/eventloop"
+	"gypsumward/core/handover"
 	"gypsumward/core/proxy"
 	"gypsumward/core/shard"
 )
@@ -135,91 +136,80 @@
 }
 
 // leave gives up the part of this instance in the cell, which stops claiming it: a holder
-// hands the cell over, a standby promises not to take over.
-func (p *participant) leave() {
-	if l := p.proxy.CurrentLoop(); l != nil {
-		p.handOver(l)
-		return
-	}
+// hands the cell over until deadline.
+func (p *participant) leave(deadline time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
-	defer cancel()
 	p.proxy.Leave(ctx)
+	cancel()
+	if l := p.proxy.CurrentLoop(); l != nil {
+		p.handOver(l, deadline)
+	}
 }
 
-// handOver drains the cell until no write or start is in flight and hands it over to
-// another instance. If none has sent a hello message, the cell goes on until one does. If
-// the handover cannot be written in time, or no instance is found while clients are still
-// directed here, the term ends, and any standby may take over.
-func (p *participant) handOver(l *eventloop.Loop) {
-	if successor, ok := p.awaitSuccessor(l); ok {
-		ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
-		defer cancel()
-		if p.transfer(ctx, l, successor) {
-			return
-		}
-	} else {
-		_ = p.log.Log("event", "nosuccessor")
+// handOver hands the cell over. If that cannot be written until deadline, the term ends, and
+// any standby may take over.
+func (p *participant) handOver(l *eventloop.Loop, deadline time.Time) {
+	if handover.Run(heldCell{l, p}, p.host.clock, deadline) {
+		return
 	}
+	_ = p.log.Log("event", "nohandover", "epoch", l.Term.Epoch)
 	l.Depose("the cell could not be handed over")
 	<-l.Done()
-	p.elector.Released(l.Term.Epoch)
 	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	defer cancel()
-	p.proxy.AnnounceRelease(ctx, l.Term.Epoch)
-}
-
-// awaitSuccessor waits until an instance can become the next holder, for as long as there
-// is time for a handover after that. Ok is false if there is none or the term has ended.
-func (p *participant) awaitSuccessor(l *eventloop.Loop) (m election.Member, ok bool) {
-	deadline := p.host.clock.Now().Add(drainTime - handoverTimeout)
-	for {
-		if m, _, ok = p.proxy.Successor(); ok || !p.host.clock.Now().Before(deadline) {
-			return m, ok
-		}
-		select {
-		case <-l.Done():
-			return m, false
-		case <-time.After(successorInterval):
-		}
-	}
+	var announcements sync.WaitGroup
+	announcements.Go(func() { p.proxy.AnnounceRelease(ctx, l.Term.Epoch) })
+	announcements.Go(func() { p.elector.Release(ctx, l.Term) })
+	announcements.Wait()
 }
 
-// successorInterval is the time between checks for a next holder.
-const successorInterval = 25 * time.Millisecond
-
-// giveUp hands the cell over to an instance that holds none, or goes on if that cannot be
-// written.
+// giveUp hands the cell over to a member, or goes on if that cannot be written.
 func (p *participant) giveUp(l *eventloop.Loop, successor election.Member) {
 	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	defer cancel()
-	if !p.transfer(ctx, l, successor) {
-		l.Resume()
-	}
+	handover.Attempt(ctx, heldCell{l, p}, successor)
 }
 
-// transfer drains the cell and names its next holder. It reports whether this instance is
-// no longer the holder.
-func (p *participant) transfer(ctx context.Context, l *eventloop.Loop, successor election.Member) bool {
-	l.Drain()
-	for !l.Idle() && ctx.Err() == nil {
-		time.Sleep(3 * time.Millisecond)
-	}
-	for ctx.Err() == nil {
-		if p.elector.Transfer(ctx, successor) {
-			p.announce()
-			return true
-		}
-		time.Sleep(10 * time.Millisecond)
+// heldCell is the cell of a participant during one term of this instance. It implements
+// handover.Cell.
+type heldCell struct {
+	*eventloop.Loop
+	p *participant
+}
+
+// Successor returns the member that should hold the cell next.
+func (c heldCell) Successor() (m election.Member, ok bool) {
+	m, _, ok = c.p.proxy.Successor()
+	return m, ok
+}
+
+// maxHeartbeatAge is the age of the last heartbeat that was written from which on the store
+// is taken to accept no writes.
+const maxHeartbeatAge = 900 * time.Millisecond
+
+// Writable reports whether heartbeats are written.
+func (c heldCell) Writable() bool {
+	_, version, age := c.p.elector.LastHeartbeat()
+	return version == 0 || age < maxHeartbeatAge // the first one of a term may be on its way
+}
+
+// Transfer names the next holder and, if that is written, notifies it and all others.
+func (c heldCell) Transfer(ctx context.Context, to election.Member) bool {
+	if !c.p.elector.Transfer(ctx, to) {
+		return false
 	}
-	return false
+	<-c.Done()
+	c.p.announce(c.Term.Epoch)
+	return true
 }
 
-// announce notifies the holder that this instance has named, and all others.
-func (p *participant) announce() {
+// announce notifies the holder that this instance has named, and all others, that the term
+// of the given epoch has ended.
+func (p *participant) announce(ended int64) {
 	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	defer cancel()
 	n := p.elector.Notice()
-	err := p.proxy.AnnounceHolder(ctx, n.Holder.Addr)
+	err := p.proxy.AnnounceHolder(ctx, n.Holder.Addr, ended)
 	_ = p.log.Log("event", "handed", "to", n.Holder.Node, "epoch", n.Epoch, "err", err)
 	p.host.board.Publish(ctx, p.name, n)
 }
--- a/gypsumward/hosted/standby.go
+++ b/gypsumward/hosted/standby.go
@@ -133,7 +133,7 @@
 		p.stop = nil
 		_ = p.log.Log("event", "outside")
 	}
-	if holds && !p.host.draining.Load() && p.changing.CompareAndSwap(false, true) {
+	if holds && p.changing.CompareAndSwap(false, true) {
 		go func() {
 			defer p.changing.Store(false)
 			p.arrangeStandbys(ctx, now)
@@ -228,34 +228,42 @@
 	p.standbysFrom = now
 }
 
-// replaceableStandbys returns the standbys that have had time for a hello message and sent
-// none, which are passed over from now on. Ok is false if that time has not passed.
-func (p *participant) replaceableStandbys(now time.Time) (silent []string, ok bool) {
+// goneStandbys returns the standbys that shut down, and those that have had time for a hello
+// message and sent none. They are passed over from now on.
+func (p *participant) goneStandbys(now time.Time) []string {
+	gone := p.proxy.LeavingStandbys()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Sub(p.standbysFrom) < standbyTimeout {
-		return nil, false
+	if now.Sub(p.standbysFrom) >= standbyTimeout {
+		gone = append(gone, p.proxy.SilentStandbys(standbyTimeout)...)
 	}
-	silent = p.proxy.SilentStandbys(standbyTimeout)
 	for _, m := range p.host.roster.Members() {
-		if slices.Contains(silent, m.Node) {
+		if slices.Contains(gone, m.Node) {
 			p.absent[m.Node] = absentee{incarnation: m.Incarnation, until: now.Add(absence)}
 		}
 	}
-	return silent, true
+	return gone
 }
 
-// arrangeStandbys replaces standbys of this instance that send no hello messages, adds
-// missing ones and prefers those in the data centre of the cell. Changed standbys are
+// settled reports whether the standbys have had time for a hello message since they were
+// chosen.
+func (p *participant) settled(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.standbysFrom) >= standbyTimeout
+}
+
+// arrangeStandbys replaces standbys of this instance that shut down or send no hello messages,
+// adds missing ones and prefers those in the data centre of the cell. Changed standbys are
 // published.
 func (p *participant) arrangeStandbys(ctx context.Context, now time.Time) {
 	current, known := p.elector.Standbys()
-	silent, due := p.replaceableStandbys(now)
-	if !due && known {
+	gone := p.goneStandbys(now)
+	if known && len(gone) == 0 && !p.settled(now) {
 		return
 	}
 	chosen := p.chooseStandbys(p.host.self)
-	if len(chosen) == 0 || (known && !standby.Improves(chosen, current, len(silent) > 0, p.cell.Zone, p.host.roster.Members())) {
+	if len(chosen) == 0 || (known && !standby.Improves(chosen, current, len(gone) > 0, p.cell.Zone, p.host.roster.Members())) {
 		return
 	}
 	if !p.elector.SetStandbys(ctx, chosen) {
