cell: an unanswered start order is sent again before the runner is fenced, and lost polls are noticed

A third of the runners were out of use at any moment.

Change: an unanswered start order is sent once more, which the runner ignores if it has carried the first one out; holds to a silent runner are sent after 25, 50, 100, 200 and then each 300 ms; a reply to another hold with a new end shows that the poll's reply was lost, and the next poll is sent at once.

--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -219,20 +219,27 @@
 		return
 	}
 	t.lastRun = max(t.lastRun, t.runFloor) + 1
-	x := &run{key: runKey{t.id(), t.lastRun}, task: t, runner: r, resources: requirements(t.spec()), token: r.token, startSent: now}
+	x := &run{key: runKey{t.id(), t.lastRun}, task: t, runner: r, resources: requirements(t.spec()), token: r.token}
 	x.resumed = t.checkpoint.value != ""
 	t.run, t.ready = x, false
 	t.job.readyTasks--
 	r.runs[x.key] = x
 	r.used = r.used.add(x.resources)
-	r.maxDeadline = max(r.maxDeadline, deadline)
-	if r.unansweredSince.IsZero() {
-		r.unansweredSince = now
-	}
 	c.stopOpportunistic(now, t, r)
 	c.Metrics.Count("starts", 1)
 	c.log("event", "start", "job", t.job.ID, "step", t.step, "task", t.index, "run", t.lastRun, "runner", r.ID, "waited", now.Sub(t.job.arrived),
 		"left", t.job.due.Sub(now), "speed", r.speed.rate(), "free", r.free().CPU)
+	c.sendStart(now, x, deadline)
+}
+
+// sendStart sends the start order of a run, with a lease until deadline.
+func (c *Cell) sendStart(now time.Time, x *run, deadline int64) {
+	t, r := x.task, x.runner
+	x.startSent = now
+	r.maxDeadline = max(r.maxDeadline, deadline)
+	if r.unansweredSince.IsZero() {
+		r.unansweredSince = now
+	}
 	c.Orders.Start(r.target(), order.Start{
 		Task: x.key.task, Run: x.key.run, Spec: t.job.Spec, Deadline: deadline, Token: r.token,
 		Checkpoint: t.checkpoint.value, Ticket: t.job.ticketFor(t.step, r),
--- a/core/cell/ends.go
+++ b/core/cell/ends.go
@@ -8,8 +8,9 @@
 	"gypsumward/core/work"
 )
 
-// processEnds processes the ends that a runner reports, each once.
-func (c *Cell) processEnds(now time.Time, r *runner, list []order.EndedRun) {
+// processEnds processes the ends that a runner reports, each once. It reports whether there
+// was a new one.
+func (c *Cell) processEnds(now time.Time, r *runner, list []order.EndedRun) (found bool) {
 	if len(list) > 0 && !r.ackBaseKnown {
 		r.ackBaseKnown = true
 		r.acked = max(r.acked, list[0].Number-1) // a previous holder has acknowledged those before
@@ -21,11 +22,13 @@
 		if _, known := r.unackedEnds[e.Number]; known {
 			continue
 		}
+		found = true
 		r.unackedEnds[e.Number] = false
 		r.ended.add(now, runKey{e.Task, e.Run})
 		c.processEnd(now, r, e)
 	}
 	r.advanceAcked()
+	return found
 }
 
 // advanceAcked advances the number up to which the effects of all ends are stored.
--- a/core/cell/hold.go
+++ b/core/cell/hold.go
@@ -90,16 +90,20 @@
 }
 
 // retryHold sends another hold to a runner that has not answered an order in time, or
-// whose last hold failed, at most once per probeInterval.
+// whose last hold failed. The time between them doubles up to probeInterval.
 func (c *Cell) retryHold(now time.Time, r *runner) {
 	unanswered := r.probeTicket != 0 && now.Sub(r.probeSent) > c.answerTimeout(r)
 	failed := r.probeTicket == 0 && !r.unansweredSince.IsZero()
 	if (unanswered || failed) && now.After(r.nextProbe) {
-		r.nextProbe = now.Add(probeInterval)
+		r.nextProbe = now.Add(min(c.answerTimeout(r)<<r.missedProbes, probeInterval))
+		r.missedProbes = min(r.missedProbes+1, maxProbeShift)
 		c.sendHold(now, r, 0)
 	}
 }
 
+// maxProbeShift bounds the number of times that the time between probes doubles.
+const maxProbeShift = 10
+
 // canPoll reports whether a long poll may be sent. While some ends are not acknowledged
 // a runner replies at once, so polls are then pollInterval apart.
 func (c *Cell) canPoll(now time.Time, r *runner) bool {
@@ -152,7 +156,9 @@
 		}
 		return
 	}
-	c.processEnds(now, r, h.Ends)
+	if c.processEnds(now, r, h.Ends) && isProbe {
+		r.pollTicket = 0 // the reply to the poll in flight, which these ends caused, was lost
+	}
 	if !r.fenced {
 		c.syncRuns(now, r, h.Running)
 	} else {
--- a/core/cell/run.go
+++ b/core/cell/run.go
@@ -21,7 +21,8 @@
 	runner         *runner
 	resources      Resources
 	token          int64
-	startSent      time.Time
+	startSent      time.Time // when the start order was last sent
+	resent         bool      // the start order was sent again
 	startAnswered  time.Time // when the start order was answered; zero before
 	percentAt      time.Time // when percent was last reported
 	percent        float64
@@ -42,9 +43,11 @@
 		if x.startAnswered.IsZero() && now.Sub(x.startSent) > c.answerTimeout(r) && x.token == r.token {
 			c.Metrics.Count("unanswered", 1)
 			c.log("event", "unanswered", "runner", r.ID, "job", x.key.task.Job, "task", x.key.task.Index,
-				"run", x.key.run, "after", now.Sub(x.startSent))
-			c.fence(now, r)
-			return
+				"run", x.key.run, "after", now.Sub(x.startSent), "again", x.resent)
+			if x.resent || !c.resend(now, x) {
+				c.fence(now, r)
+				return
+			}
 		}
 		if !x.stopSent.IsZero() && now.Sub(x.stopSent) > c.Settings.StopGrace+2*c.answerTimeout(r) {
 			x.stopSent = time.Time{}
@@ -53,6 +56,19 @@
 	}
 }
 
+// resend sends the start order of a run again, which has no effect if the runner has carried
+// the first one out: that spares the other orders to the runner. It returns false if no lease
+// can be granted or nothing is to be started any more.
+func (c *Cell) resend(now time.Time, x *run) bool {
+	deadline := c.orderDeadline(now, x.runner)
+	if x.task == nil || !x.stopSent.IsZero() || deadline == 0 || !c.mayStart(now) {
+		return false
+	}
+	x.resent = true
+	c.sendStart(now, x, deadline)
+	return true
+}
+
 // releaseLapsed releases the runs of a silent runner once all leases on it have expired.
 func (c *Cell) releaseLapsed(now time.Time, r *runner) {
 	if len(r.runs) == 0 || !r.isSilent(now, c.Settings.SilenceTimeout) || !r.leasesLapsed(now, c.Settings.Lease) {
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -53,6 +53,7 @@
 	confirmedHold           time.Time // when the latest hold was sent that this incarnation has answered
 	lastStoredStart         time.Time // when the latest start order for a stored job was answered
 	nextProbe               time.Time // earliest time of the next retried hold
+	missedProbes            int       // retried holds since the last reply
 	health                  health
 	speed                   speed
 }
@@ -136,7 +137,7 @@
 	if clock > 0 {
 		r.clock, r.clockAt = clock, now
 	}
-	r.unansweredSince = time.Time{}
+	r.unansweredSince, r.missedProbes = time.Time{}, 0
 }
 
 // checkVerdict processes the verdict of a reply to an order given under token. It
