--- a/core/cell/hold.go
+++ b/core/cell/hold.go
@@ -156,6 +156,12 @@
 		}
 		return
 	}
+	c.processLists(now, r, h, isProbe, sent)
+}
+
+// processLists processes the lists of r in the reply to a hold sent at a time under the
+// current token.
+func (c *Cell) processLists(now time.Time, r *runner, h order.HoldReply, isProbe bool, sent time.Time) {
 	if c.processEnds(now, r, h.Ends) && isProbe {
 		r.pollTicket = 0 // the reply to the poll in flight, which these ends caused, was lost
 	}
