--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -236,6 +236,7 @@
 func (c *Cell) sendStart(now time.Time, x *run, deadline int64) {
 	t, r := x.task, x.runner
 	x.startSent = now
+	x.startsInFlight++
 	r.maxDeadline = max(r.maxDeadline, deadline)
 	if r.unansweredSince.IsZero() {
 		r.unansweredSince = now
@@ -253,13 +254,11 @@
 		return
 	}
 	x := r.runs[runKey{given.Task, given.Run}]
+	if x != nil {
+		x.startsInFlight--
+	}
 	if !c.checkVerdict(now, r, given.Token, v.Verdict) {
-		if v.Verdict == order.Unhealthy || v.Verdict == order.Invalid {
-			r.health.recordFailure(now)
-		}
-		if x != nil && (v.Verdict == order.Unhealthy || v.Verdict == order.Invalid || v.Verdict == order.Fenced) {
-			c.handleNotStarted(now, x, v.Verdict)
-		}
+		c.handleNotAccepted(now, r, x, given.Token, v.Verdict)
 		return
 	}
 	r.recordAnswer(now, max(v.Clock, r.clock))
@@ -277,13 +276,34 @@
 	c.handleNotStarted(now, x, v.Verdict)
 }
 
+// handleNotAccepted processes a verdict, to a start order of run x, that says that the runner
+// rejected the order or may not have received it. X may be nil.
+func (c *Cell) handleNotAccepted(now time.Time, r *runner, x *run, token int64, v order.Verdict) {
+	switch v {
+	case order.Unhealthy, order.Invalid:
+		r.health.recordFailure(now)
+	case order.Fenced:
+	case order.Unknown:
+		if x != nil && x.startAnswered.IsZero() && x.startsInFlight == 0 && token == r.token && x.token == r.token && r.fenced {
+			c.handleNoReply(now, x)
+		}
+		return
+	default:
+		return
+	}
+	if x != nil {
+		c.handleNotStarted(now, x, v)
+	}
+}
+
 // handleNotStarted releases a run that the runner did not start. If the runner has a run
-// with a number at least as high, it is fenced instead to learn what runs.
+// with a number at least as high, or another order may start the run, it is fenced instead to
+// learn what runs.
 func (c *Cell) handleNotStarted(now time.Time, x *run, v order.Verdict) {
 	c.Metrics.Count("not_started_"+v.String(), 1)
 	c.log("event", "notstarted", "runner", x.runner.ID, "job", x.key.task.Job, "task", x.key.task.Index, "run", x.key.run,
 		"why", v.String())
-	if v == order.Superseded {
+	if v == order.Superseded || x.resent {
 		c.fence(now, x.runner) // the reply reports whether it runs
 		return
 	}
--- a/core/cell/hold.go
+++ b/core/cell/hold.go
@@ -127,6 +127,7 @@
 	}
 	if !c.checkVerdict(now, r, given.Token, h.Verdict) {
 		c.recordMissedHold(r, sent)
+		c.retryHold(now, r)
 		return
 	}
 	if isProbe {
--- a/core/cell/run.go
+++ b/core/cell/run.go
@@ -23,6 +23,7 @@
 	token          int64
 	startSent      time.Time // when the start order was last sent
 	resent         bool      // the start order was sent again
+	startsInFlight int       // start orders without a reply
 	startAnswered  time.Time // when the start order was answered; zero before
 	percentAt      time.Time // when percent was last reported
 	percent        float64
@@ -40,14 +41,8 @@
 		if x.task == nil && x.stopSent.IsZero() && now.Sub(x.startSent) > orphanTimeout {
 			c.stop(now, x, "not resubmitted in time")
 		}
-		if x.startAnswered.IsZero() && now.Sub(x.startSent) > c.answerTimeout(r) && x.token == r.token {
-			c.Metrics.Count("unanswered", 1)
-			c.log("event", "unanswered", "runner", r.ID, "job", x.key.task.Job, "task", x.key.task.Index,
-				"run", x.key.run, "after", now.Sub(x.startSent), "again", x.resent)
-			if x.resent || !c.resend(now, x) {
-				c.fence(now, r)
-				return
-			}
+		if x.startAnswered.IsZero() && now.Sub(x.startSent) > c.answerTimeout(r) && x.token == r.token && !c.handleNoReply(now, x) {
+			return
 		}
 		if !x.stopSent.IsZero() && now.Sub(x.stopSent) > c.Settings.StopGrace+2*c.answerTimeout(r) {
 			x.stopSent = time.Time{}
@@ -56,6 +51,19 @@
 	}
 }
 
+// handleNoReply sends a start order without a reply again or, the second time, makes all orders
+// to the runner void to learn what runs. It returns false in the latter case.
+func (c *Cell) handleNoReply(now time.Time, x *run) bool {
+	c.Metrics.Count("unanswered", 1)
+	c.log("event", "unanswered", "runner", x.runner.ID, "job", x.key.task.Job, "task", x.key.task.Index,
+		"run", x.key.run, "after", now.Sub(x.startSent), "again", x.resent)
+	if x.resent || !c.resend(now, x) {
+		c.fence(now, x.runner)
+		return false
+	}
+	return true
+}
+
 // resend sends the start order of a run again, which has no effect if the runner has carried
 // the first one out: that spares the other orders to the runner. It returns false if no lease
 // can be granted or nothing is to be started any more.
