overload, hosted, balance: a holder whose orders take long hands its cell over; handovers for balance happen

(b) No handover for balance ever took place on a machine of one core: the check of the standbys, started in a goroutine just before, held the flag that excludes both at once.

Changes: core/overload judges a machine by the lateness of ticks and by the mean latency of orders against the least of the term; the check of the standbys runs in the loop, and only the write in a goroutine; a cell held elsewhere only moves home, unless the machine is slow.

--- a/core/balance/holding_test.go
+++ b/core/balance/holding_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -27,13 +26,15 @@
 		{"nothing to gain", balance.Holding{Zone: "z", Self: home, Cells: 1, Successor: large}, false},
 		{"back to the data centre of the runners", balance.Holding{Zone: "z", Self: other, Cells: 1, Successor: home, SuccessorCells: 2}, true},
 		{"nobody at home", balance.Holding{Zone: "z", Self: other, Cells: 1, Successor: member("d", "x", 0.8)}, false},
+		{"two cells, one from elsewhere", balance.Holding{Zone: "x", Self: home, Cells: 2, Successor: other}, false},
+		{"too slow, from elsewhere to elsewhere", balance.Holding{Zone: "x", Self: home, Cells: 2, Slow: true, Successor: other}, true},
 		{"two cells", balance.Holding{Zone: "z", Self: home, Cells: 2, Successor: large}, true},
 		{"two cells, but nobody else at home", balance.Holding{Zone: "z", Self: home, Cells: 2, Successor: other}, false},
 		{"two cells, the successor has more", balance.Holding{Zone: "z", Self: home, Cells: 2, Successor: large, SuccessorCells: 3}, false},
-		{"too slow", balance.Holding{Zone: "z", Self: home, Cells: 1, Lag: balance.MaxLag, Successor: large}, true},
-		{"too slow, the successor holds a cell", balance.Holding{Zone: "z", Self: home, Cells: 1, Lag: balance.MaxLag, Successor: large, SuccessorCells: 1}, false},
-		{"too slow, but nobody else at home", balance.Holding{Zone: "z", Self: home, Cells: 1, Lag: time.Second, Successor: other}, false},
-		{"too slow, runners everywhere", balance.Holding{Self: home, Cells: 1, Lag: time.Second, Successor: other}, true},
+		{"too slow", balance.Holding{Zone: "z", Self: home, Cells: 1, Slow: true, Successor: large}, true},
+		{"too slow, the successor holds a cell", balance.Holding{Zone: "z", Self: home, Cells: 1, Slow: true, Successor: large, SuccessorCells: 1}, false},
+		{"too slow, but nobody else at home", balance.Holding{Zone: "z", Self: home, Cells: 1, Slow: true, Successor: other}, false},
+		{"too slow, runners everywhere", balance.Holding{Self: home, Cells: 1, Slow: true, Successor: other}, true},
 	} {
 		require.Equal(t, test.hand, test.holding.Reason() != "", test.name)
 	}
@@ -48,7 +49,7 @@
 		cores := rapid.SampledFrom([]float64{0, 0.144, 0.4, 0.8})
 		h := balance.Holding{
 			Zone: zone.Draw(t, "cell"), Self: member("a", zone.Draw(t, "own"), cores.Draw(t, "own cores")), Cells: rapid.IntRange(1, 4).Draw(t, "held"),
-			Lag: rapid.SampledFrom([]time.Duration{0, time.Second}).Draw(t, "lag"), Successor: member("b", zone.Draw(t, "other"), cores.Draw(t, "other cores")),
+			Slow: rapid.Bool().Draw(t, "slow"), Successor: member("b", zone.Draw(t, "other"), cores.Draw(t, "other cores")),
 			SuccessorCells: rapid.IntRange(0, 4).Draw(t, "other held"),
 		}
 		if h.Reason() == "" {
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -164,6 +164,22 @@
 	return n
 }
 
+// OrderLatency returns the mean time from when orders are sent until their replies are
+// processed, over the runners that answer; zero if none has.
+func (c *Cell) OrderLatency() time.Duration {
+	sum, count := time.Duration(0), time.Duration(0)
+	for _, r := range c.sorted {
+		if r.fenced && r.health.meanLatency > 0 {
+			sum += r.health.meanLatency
+			count++
+		}
+	}
+	if count == 0 {
+		return 0
+	}
+	return sum / count
+}
+
 // ReachableRunners returns how many runners of the directory are reachable, and how
 // many runners the directory holds.
 func (c *Cell) ReachableRunners(now time.Time) (answering, listed int) {
--- a/core/eventloop/lag_test.go
+++ b/core/eventloop/lag_test.go
@@ -38,14 +38,14 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go l.Run(ctx)
 		time.Sleep(6 * time.Second)
-		require.Less(t, l.Lag(), time.Millisecond)
+		require.Less(t, l.Overload().Lag(), time.Millisecond)
 		for range 40 {
 			l.Post(slowMessage{150 * time.Millisecond})
 			time.Sleep(151 * time.Millisecond)
 		}
-		require.Greater(t, l.Lag(), 40*time.Millisecond)
+		require.Greater(t, l.Overload().Lag(), 40*time.Millisecond)
 		time.Sleep(10 * time.Second)
-		require.Less(t, l.Lag(), 5*time.Millisecond)
+		require.Less(t, l.Overload().Lag(), 5*time.Millisecond)
 		cancel()
 		<-l.Done()
 	})
--- a/core/eventloop/loop.go
+++ b/core/eventloop/loop.go
@@ -13,6 +13,7 @@
 	"gypsumward/core/election"
 	"gypsumward/core/monotonic"
 	"gypsumward/core/order"
+	"gypsumward/core/overload"
 	"gypsumward/core/table"
 	"gypsumward/core/wallclock"
 	"gypsumward/core/work"
@@ -75,8 +76,7 @@
 	answeringRunners atomic.Int64 // runners in the directory that answer
 	listedRunners    atomic.Int64 // runners in the directory
 	idle             atomic.Bool
-	lag              atomic.Int64 // mean delay of ticks, in nanoseconds
-	startedAt        time.Time
+	overload         overload.Detector
 	calls            sync.WaitGroup
 	ctx              context.Context
 }
@@ -85,7 +85,7 @@
 func New(t election.Term, name string, s cell.Settings, r Runners, st Store, clock Clock, logger log.Logger, metrics cell.Metrics) *Loop {
 	l := &Loop{
 		Term: t, Runners: r, Store: st, Clock: clock,
-		messages: make(chan cell.Message, messageQueueSize), done: make(chan struct{}), startedAt: clock.Now(),
+		messages: make(chan cell.Message, messageQueueSize), done: make(chan struct{}), overload: overload.Detector{StartedAt: clock.Now()},
 	}
 	l.cell = cell.New(cell.Term{Cell: name, HolderKey: election.Key(name, election.HolderRow), Epoch: t.Epoch, TermNumber: t.Number, PreviousRunners: t.PreviousRunners, PreviousEnd: t.PreviousEnd}, s, clock.Now())
 	l.cell.Log, l.cell.Metrics = logger, metrics
@@ -113,7 +113,7 @@
 		case <-ticker.C:
 			now := l.Clock.Now()
 			late := now.Sub(lastTick) > 2*tickInterval
-			l.recordLag(now.Sub(lastTick) - tickInterval)
+			l.overload.RecordTick(now.Sub(lastTick) - tickInterval)
 			lastTick = now
 			// After a pause of the process replies may be waiting, which a tick would take for
 			// missing.
@@ -143,27 +143,8 @@
 	}
 }
 
-// recordLag adds the delay of one tick to the moving average.
-func (l *Loop) recordLag(d time.Duration) {
-	mean := l.lag.Load()
-	l.lag.Store(mean + (int64(max(d, 0))-mean)/lagWindow)
-}
-
-// Lag returns by how much the ticks of the loop are late on average: the time for which
-// messages wait because the machine is too slow for the cell. It is zero in the first
-// seconds of a term.
-func (l *Loop) Lag() time.Duration {
-	if l.Clock.Now().Sub(l.startedAt) < lagSettleTime {
-		return 0
-	}
-	return time.Duration(l.lag.Load())
-}
-
-// Averaging of the lag.
-const (
-	lagWindow     = 12 // ticks in the moving average
-	lagSettleTime = 5 * time.Second
-)
+// Overload returns the detector that tells whether this machine is too slow for the cell.
+func (l *Loop) Overload() *overload.Detector { return &l.overload }
 
 // publish updates the figures that other goroutines read.
 func (l *Loop) publish() {
@@ -171,6 +152,7 @@
 	answering, listed := l.cell.ReachableRunners(l.Clock.Now())
 	l.answeringRunners.Store(int64(answering))
 	l.listedRunners.Store(int64(listed))
+	l.overload.RecordLatency(l.cell.OrderLatency())
 }
 
 // Post queues a message for the cell, waiting for space if the queue is full. It returns
--- a/gypsumward/hosted/standby.go
+++ b/gypsumward/hosted/standby.go
@@ -102,14 +102,17 @@
 		if l == nil || !ok {
 			continue
 		}
-		lag := l.Lag()
-		reason := balance.Holding{Zone: p.cell.Zone, Self: h.self, Cells: held, Lag: lag, Successor: successor, SuccessorCells: cells}.Reason()
+		reason := balance.Holding{
+			Zone: p.cell.Zone, Self: h.self, Cells: held, Slow: l.Overload().Overloaded(now), Successor: successor, SuccessorCells: cells,
+		}.Reason()
 		if reason == "" {
 			continue
 		}
-		if p.changing.CompareAndSwap(false, true) {
+		if !p.changing.Load() {
+			p.changing.Store(true)
 			h.balanceAt = now.Add(balanceInterval)
-			_ = p.log.Log("event", "balance", "to", successor.Node, "why", reason, "held", held, "cells", cells, "lag", lag)
+			_ = p.log.Log("event", "balance", "to", successor.Node, "why", reason, "held", held, "cells", cells,
+				"lag", l.Overload().Lag(), "latency", l.Overload().Latency())
 			go func() {
 				defer p.changing.Store(false)
 				p.giveUp(l, successor)
@@ -133,11 +136,8 @@
 		p.stop = nil
 		_ = p.log.Log("event", "outside")
 	}
-	if holds && p.changing.CompareAndSwap(false, true) {
-		go func() {
-			defer p.changing.Store(false)
-			p.arrangeStandbys(ctx, now)
-		}()
+	if holds && !p.changing.Load() {
+		p.arrangeStandbys(ctx, now)
 	}
 	if !competes {
 		p.followUnreachable(ctx, now)
@@ -266,12 +266,16 @@
 	if len(chosen) == 0 || (known && !standby.Improves(chosen, current, len(gone) > 0, p.cell.Zone, p.host.roster.Members())) {
 		return
 	}
-	if !p.elector.SetStandbys(ctx, chosen) {
-		monotonic.Sleep(ctx, arrangeRetry)
-		return
-	}
-	p.setStandbysFrom(now)
-	p.publish()
+	p.changing.Store(true)
+	go func() {
+		defer p.changing.Store(false)
+		if !p.elector.SetStandbys(ctx, chosen) {
+			monotonic.Sleep(ctx, arrangeRetry)
+			return
+		}
+		p.setStandbysFrom(now)
+		p.publish()
+	}()
 }
 
 // publishTimeout bounds the publication of a notice.
