election: a standby that the holder answers checks every 100 ms whether to take over

Each standby woke up 40 times a second for each cell. While the holder answers it cannot take over for another 0.3 s, so ten times are enough; the end of a term by the holder itself wakes it at once.

--- a/core/election/elector.go
+++ b/core/election/elector.go
@@ -85,12 +85,13 @@
 	heartbeatNumber   int64
 	changed           chan struct{}
 	refresh           chan struct{}
+	ended             chan struct{} // a value means that a holder has ended its term by itself
 }
 
 // New returns an Elector for a cell, with the defaults in place of zero values of s. It has
 // read no rows yet.
 func New(cell string, s Settings) *Elector {
-	return &Elector{Cell: cell, Settings: s.withDefaults(), Log: log.NewNopLogger(), changed: make(chan struct{}), refresh: make(chan struct{}, 1)}
+	return &Elector{Cell: cell, Settings: s.withDefaults(), Log: log.NewNopLogger(), changed: make(chan struct{}), refresh: make(chan struct{}, 1), ended: make(chan struct{}, 1)}
 }
 
 // Holder returns the current holder, the version of its row and whether this instance is
@@ -189,7 +190,7 @@
 			}
 			if json.Unmarshal(r.Value, &b) == nil && b != e.heartbeat {
 				if b.Ended < r.Version {
-					e.releasedEpoch = max(e.releasedEpoch, b.Ended)
+					e.setReleased(b.Ended)
 				}
 				e.heartbeat, e.lastHeartbeat, e.holderRunners = b, e.sentBy(b, now), b.Runners
 			}
--- a/core/election/settings.go
+++ b/core/election/settings.go
@@ -14,8 +14,9 @@
 	DefaultProbeInterval     = 100 * time.Millisecond
 	DefaultMaxExtension      = 20 * time.Second
 	DefaultOutsiderTimeout   = 22 * time.Second
-	takeoverCheckInterval    = 25 * time.Millisecond // between checks whether to take over
-	maxClaimJitter           = 60 * time.Millisecond // upper bound of the random delay before a claim
+	takeoverCheckInterval    = 25 * time.Millisecond  // between checks whether to take over
+	reachableCheckInterval   = 100 * time.Millisecond // the same while the holder answers
+	maxClaimJitter           = 60 * time.Millisecond  // upper bound of the random delay before a claim
 )
 
 // Settings holds the intervals and timeouts of an Elector. A zero value stands for the
--- a/core/election/standbys.go
+++ b/core/election/standbys.go
@@ -150,7 +150,20 @@
 func (e *Elector) Released(epoch int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.releasedEpoch = max(e.releasedEpoch, epoch)
+	e.setReleased(epoch)
+}
+
+// setReleased records that the holder of an epoch has ended its term. The caller holds the
+// lock.
+func (e *Elector) setReleased(epoch int64) {
+	if epoch <= e.releasedEpoch {
+		return
+	}
+	e.releasedEpoch = epoch
+	select {
+	case e.ended <- struct{}{}:
+	default:
+	}
 }
 
 // Release records in the store that the term t of this instance has ended, so that a standby
--- a/core/election/takeover.go
+++ b/core/election/takeover.go
@@ -14,7 +14,7 @@
 func (e *Elector) takeOver(ctx context.Context) {
 	var p prober
 	for ctx.Err() == nil {
-		monotonic.Sleep(ctx, takeoverCheckInterval)
+		e.awaitCheck(ctx)
 		s, ok := e.situation()
 		if !ok {
 			continue
@@ -31,6 +31,22 @@
 	}
 }
 
+// awaitCheck waits until it is to be checked whether to take over: at once when the holder has
+// ended its term by itself.
+func (e *Elector) awaitCheck(ctx context.Context) {
+	interval := takeoverCheckInterval
+	if e.reachesHolder() {
+		interval = reachableCheckInterval
+	}
+	t := time.NewTimer(interval)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-e.ended:
+	case <-ctx.Done():
+	}
+}
+
 // situation is what a decision to take over is based on.
 type situation struct {
 	now           time.Time
