cell, election, fingerprint: a takeover knows on which runners the previous holder may have runs

The number could never tell: runners that have joined make up for missing ones.

Change: heartbeats carry a fingerprint of the ids of all runners that may have runs, and the next holder goes on at once only if its directory has the same one and all answer; a holder that hands over names the runners that are missing from the directory, which the next one then asks. Otherwise all leases are waited for. A runner that was silent while unlisted is used no more until it is listed. A term that is released keeps its fingerprint.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log"
 
+	"gypsumward/core/fingerprint"
 	"gypsumward/core/order"
 	"gypsumward/core/table"
 	"gypsumward/core/work"
@@ -36,11 +37,13 @@
 
 // Term identifies one term of a holder of a cell.
 type Term struct {
-	Cell            string // name of the cell, and first part of its row keys
-	HolderKey       string // key of the holder's row
-	Epoch           int64  // version of the holder's row, higher than in all previous terms
-	TermNumber      int    // number of holders so far, including this one
-	PreviousRunners int    // number of runners of the previous holder; zero if there was none
+	Cell       string // name of the cell, and first part of its row keys
+	HolderKey  string // key of the holder's row
+	Epoch      int64  // version of the holder's row, higher than in all previous terms
+	TermNumber int    // number of holders so far, including this one
+	// PreviousRunners is the fingerprint of the ids of the runners on which the previous holder
+	// may have runs; zero if it is not known.
+	PreviousRunners fingerprint.Set
 	// PreviousEnd is when the previous holder has certainly stopped extending leases; zero
 	// means when the term begins.
 	PreviousEnd time.Time
@@ -75,6 +78,7 @@
 
 	loaded           bool      // the rows have been read
 	takenOver        bool      // no unaccounted run of a previous holder can be left
+	previousKnown    bool      // the previous holder has said on which runners it may have runs
 	takeoverDeadline time.Time // when all leases of previous holders have expired
 	deposed          bool
 	passPending      bool      // RunPass has work to do
@@ -107,8 +111,18 @@
 }
 
 // PreviousEnded records that the previous holder has ended its term: it extends no lease any
-// more.
-func (c *Cell) PreviousEnded(now time.Time) {
+// more, and the runners on which it may have runs are those of the directory and the given
+// ones.
+func (c *Cell) PreviousEnded(now time.Time, unlisted []RunnerInfo) {
+	if c.deposed || c.takenOver {
+		return
+	}
+	c.previousKnown = true
+	for _, entry := range unlisted {
+		if c.runners[entry.ID] == nil {
+			c.addUnlisted(now, entry)
+		}
+	}
 	if deadline := now.Add(c.Settings.longestLease()); deadline.Before(c.takeoverDeadline) {
 		c.takeoverDeadline = deadline
 	}
@@ -164,6 +178,29 @@
 	return n
 }
 
+// RunnerSet returns the fingerprint of the ids of the runners that may have runs.
+func (c *Cell) RunnerSet(now time.Time) fingerprint.Set {
+	return fingerprint.Of(func(yield func(string) bool) {
+		for _, r := range c.sorted {
+			if (r.isListed(now) || len(r.runs) > 0) && !yield(r.ID) {
+				return
+			}
+		}
+	})
+}
+
+// Unlisted returns the entries of the runners that may have runs and are not in the
+// directory.
+func (c *Cell) Unlisted() []RunnerInfo {
+	var list []RunnerInfo
+	for _, r := range c.sorted {
+		if !r.inDirectory && len(r.runs) > 0 {
+			list = append(list, r.RunnerInfo)
+		}
+	}
+	return list
+}
+
 // OrderLatency returns the mean time from when orders are sent until their replies are
 // processed, over the runners that answer; zero if none has.
 func (c *Cell) OrderLatency() time.Duration {
@@ -245,8 +282,8 @@
 }
 
 // completeTakeover allows the tasks of inherited jobs to start once no unaccounted run
-// of a previous holder can be left: all runners have answered under a token of this
-// holder, or the leases have expired.
+// of a previous holder can be left: all runners on which it may have runs are known and have
+// answered under a token of this holder, or the leases have expired.
 func (c *Cell) completeTakeover(now time.Time) {
 	if c.takenOver || !c.loaded {
 		return
@@ -256,15 +293,27 @@
 	for _, r := range c.sorted {
 		if r.synced {
 			synced++
-		} else if r.isListed(now) {
+		} else if r.isListed(now) || r.handedOver {
 			allSynced = false
 		}
 	}
-	if now.Before(c.takeoverDeadline) && (!allSynced || synced == 0 || synced < c.Term.PreviousRunners) {
+	known := c.previousKnown || (c.Term.PreviousRunners != 0 && c.Term.PreviousRunners == c.directorySet())
+	if now.Before(c.takeoverDeadline) && (!known || !allSynced || synced == 0) {
 		return
 	}
 	c.takenOver = true
-	c.log("event", "inherited", "runners", synced, "all", allSynced, "jobs", len(c.jobs))
+	c.log("event", "inherited", "runners", synced, "all", allSynced, "known", known, "jobs", len(c.jobs))
+}
+
+// directorySet returns the fingerprint of the ids of the runners in the directory.
+func (c *Cell) directorySet() fingerprint.Set {
+	return fingerprint.Of(func(yield func(string) bool) {
+		for _, r := range c.sorted {
+			if r.inDirectory && !yield(r.ID) {
+				return
+			}
+		}
+	})
 }
 
 func (c *Cell) log(pairs ...any) {
--- a/core/cell/directory.go
+++ b/core/cell/directory.go
@@ -88,16 +88,31 @@
 	c.schedulePass()
 }
 
+// addRunner adds a runner that is not in the directory yet.
+func (c *Cell) addRunner(entry RunnerInfo) *runner {
+	r := &runner{unackedEnds: map[int64]bool{}, runs: map[runKey]*run{}}
+	r.RunnerInfo = entry
+	c.runners[entry.ID] = r
+	at, _ := slices.BinarySearchFunc(c.sorted, entry.ID, func(r *runner, id string) int { return strings.Compare(r.ID, id) })
+	c.sorted = slices.Insert(c.sorted, at, r)
+	return r
+}
+
+// addUnlisted adds a runner that only the previous holder knows, to learn what runs there.
+func (c *Cell) addUnlisted(now time.Time, entry RunnerInfo) {
+	r := c.addRunner(entry)
+	r.handedOver = true
+	r.speed.kind = c.kindSpeed(entry.Service, entry.MachineKind)
+	c.log("event", "runner", "runner", entry.ID, "state", "handed", "service", entry.Service, "zone", entry.Zone, "kind", entry.MachineKind)
+	c.fence(now, r)
+}
+
 // updateRunner adds or updates a runner by its directory entry. A new runner, and one that
 // has restarted or moved to another address, is fenced.
 func (c *Cell) updateRunner(now time.Time, entry RunnerInfo) {
 	r := c.runners[entry.ID]
 	if r == nil {
-		r = &runner{unackedEnds: map[int64]bool{}, runs: map[runKey]*run{}}
-		r.RunnerInfo = entry
-		c.runners[entry.ID] = r
-		at, _ := slices.BinarySearchFunc(c.sorted, entry.ID, func(r *runner, id string) int { return strings.Compare(r.ID, id) })
-		c.sorted = slices.Insert(c.sorted, at, r)
+		r = c.addRunner(entry)
 		c.log("event", "runner", "runner", entry.ID, "state", "listed", "service", entry.Service, "zone", entry.Zone, "kind", entry.MachineKind,
 			"cpu", entry.Capacity.CPU, "born", entry.Incarnation)
 	}
@@ -109,7 +124,7 @@
 		r.speed = speed{kind: kind}
 	}
 	r.RunnerInfo = entry
-	r.inDirectory, r.unlistedAt = true, time.Time{}
+	r.inDirectory, r.unlistedAt, r.handedOver = true, time.Time{}, false
 	if replaced && r.incarnation != 0 {
 		c.log("event", "runner", "runner", entry.ID, "state", "restarted", "born", entry.Incarnation, "addr", entry.Addr)
 		c.fence(now, r)
--- a/core/cell/hold.go
+++ b/core/cell/hold.go
@@ -63,7 +63,7 @@
 // maintain does the work that is due at a runner: it renews leases, retries orders, polls
 // for ends and releases runs whose leases have expired.
 func (c *Cell) maintain(r *runner, now time.Time) {
-	if r.token == 0 || (!r.isListed(now) && len(r.runs) == 0) {
+	if r.token == 0 || (!r.isListed(now) && len(r.runs) == 0 && (!r.handedOver || r.synced)) {
 		return
 	}
 	c.retryHold(now, r)
--- a/core/cell/lost_test.go
+++ b/core/cell/lost_test.go
@@ -204,7 +204,7 @@
 		next.unreachableRunners = map[string]bool{"r0": true}
 		if ended {
 			previous.kill()
-			next.exec(func() { next.cell.PreviousEnded(w.now) })
+			next.exec(func() { next.cell.PreviousEnded(w.now, nil) })
 		}
 		w.run(1200 * time.Millisecond)
 		require.Equal(t, ended, len(w.runners["r1"].runs) == 1)
@@ -213,3 +213,40 @@
 		require.True(t, w.finished[work.Task{Job: j.ID}])
 	}
 }
+
+// TestMissingAtTakeover has a runner that the directory has lost while it runs a task, and one
+// that has joined meanwhile, when another holder takes over. It does not know the former, so it
+// must not take the task for ended before all leases have expired; or it must learn of that
+// runner from the previous holder, and then go on at once.
+func TestMissingAtTakeover(t *testing.T) {
+	t.Parallel()
+	for _, told := range []bool{false, true} {
+		w := newWorld(1, 3, 32000)
+		w.runners["r2"].inDirectory = false
+		previous := w.takeOver()
+		w.run(time.Second)
+		j := newJob(1, true, work.Step{Count: 4, CPU: 16000, Estimate: 2500})
+		w.submit(j)
+		w.run(100 * time.Millisecond)
+		w.runners["r0"].inDirectory = false
+		w.runners["r2"].inDirectory = true
+		w.updateDirectory()
+		w.run(100 * time.Millisecond)
+		require.Len(t, w.runners["r0"].runs, 2)
+		unlisted := previous.cell.Unlisted()
+		require.Len(t, unlisted, 1)
+		next := w.takeOver()
+		previous.kill()
+		if told {
+			next.exec(func() { next.cell.PreviousEnded(w.now, unlisted) })
+		}
+		w.run(900 * time.Millisecond)
+		if told {
+			require.Len(t, w.runners["r0"].runs, 2, "their leases were extended")
+			require.Empty(t, w.runners["r2"].runs)
+		}
+		w.run(20 * time.Second)
+		require.Empty(t, w.violations)
+		require.Equal(t, work.Succeeded, w.outcomes[j.ID].State)
+	}
+}
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -29,6 +29,7 @@
 	RunnerInfo
 	inDirectory     bool
 	unlistedAt      time.Time // when the directory was first read without it; zero if it is in the directory
+	handedOver      bool      // not in the directory, but the previous holder may have runs on it
 	incarnation     int64     // start time of the runner; zero if not known
 	tokensIssued    int64     // number of tokens used so far
 	token           int64
@@ -98,6 +99,10 @@
 // that the store has removed although the runner is alive are back within that time.
 const unlistedGrace = 2 * time.Second
 
+// maxUnlistedSilence is the time without a reply after which a runner that is missing from the
+// directory is used no more until it is listed again.
+const maxUnlistedSilence = 200 * time.Millisecond
+
 // isListed reports whether r is in the directory or, as far as that can be told, will soon be
 // there again.
 func (r *runner) isListed(now time.Time) bool {
@@ -137,6 +142,9 @@
 	if clock > 0 {
 		r.clock, r.clockAt = clock, now
 	}
+	if !r.inDirectory && r.isSilent(now, maxUnlistedSilence) {
+		r.unlistedAt = time.Time{} // the next holder may not know that it is in use again
+	}
 	r.unansweredSince, r.missedProbes = time.Time{}, 0
 }
 
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gypsumward/core/cell"
+	"gypsumward/core/fingerprint"
 	"gypsumward/core/order"
 	"gypsumward/core/table"
 	"gypsumward/core/work"
@@ -152,9 +153,9 @@
 	key := "c0/cells/holder"
 	w.store.version++
 	w.store.values[key] = table.Row{Key: key, Version: w.store.version, Value: json.RawMessage(`1`)}
-	previousRunners := 0
+	previousRunners := fingerprint.Set(0)
 	if p.termNumber > 1 {
-		previousRunners = len(w.runners)
+		previousRunners = w.holder().runnerSet
 	}
 	p.cell = cell.New(cell.Term{Cell: "c0", HolderKey: "c0/cells/holder", Epoch: w.store.version, TermNumber: p.termNumber, PreviousRunners: previousRunners, PreviousEnd: previousEnd}, cell.Settings{}, w.now)
 	p.epoch = w.store.version
@@ -264,6 +265,7 @@
 	frozenUntil        time.Time
 	onDisconnect       []func() // called when its connections to callers break
 	holdsSent          int
+	runnerSet          fingerprint.Set // as last reported by a heartbeat
 }
 
 // exec runs do and a pass of the cell in the goroutine of the holder. It does nothing
@@ -301,6 +303,7 @@
 	p.exec(func() {
 		if !p.storeUnreachable && !p.world.store.down && p.world.store.values["c0/cells/holder"].Version == p.epoch {
 			p.cell.ExtendLease(sent.Add(simHolderLease))
+			p.runnerSet = p.cell.RunnerSet(p.world.now)
 		}
 	})
 	p.world.after(300*time.Millisecond, p.renew)
--- a/core/election/claim_test.go
+++ b/core/election/claim_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumward/core/election"
+	"gypsumward/core/fingerprint"
 	"gypsumward/core/table"
 	"gypsumward/core/table/memstore"
 )
@@ -122,7 +123,7 @@
 	t.Parallel()
 	holder := election.Holder{Member: election.Member{Node: "h", Incarnation: "h@1"}, TermNumber: 1}
 	newHeartbeat := func(number int64, runners int) election.Heartbeat {
-		return election.Heartbeat{Incarnation: "h@1", Number: number, Runners: runners}
+		return election.Heartbeat{Incarnation: "h@1", Number: number, Set: fingerprint.Set(runners)}
 	}
 	older, err := json.Marshal(newHeartbeat(3, 3))
 	require.NoError(t, err)
@@ -137,5 +138,5 @@
 	e.ReportHeartbeat(newHeartbeat(3, 3), 9, 1)
 	require.NoError(t, e.Lookup(t.Context()))
 	e.ApplyNotice(election.Notice{Holder: election.Holder{Member: e.Self, TermNumber: 2}, Epoch: 11})
-	require.Equal(t, 7, m.terms()[0].PreviousRunners)
+	require.Equal(t, fingerprint.Set(7), m.terms()[0].PreviousRunners)
 }
--- a/core/election/elector.go
+++ b/core/election/elector.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log"
 
+	"gypsumward/core/fingerprint"
 	"gypsumward/core/mirror"
 	"gypsumward/core/monotonic"
 	"gypsumward/core/table"
@@ -34,8 +35,9 @@
 	Renew(t Term, until time.Time)
 	// EndTerm is called when another instance has become the holder.
 	EndTerm(t Term, why string)
-	// Runners returns the number of runners that orders can be sent to.
-	Runners() int
+	// Runners returns the number of runners that orders can be sent to, and the fingerprint of
+	// those that may have runs.
+	Runners() (count int, set fingerprint.Set)
 }
 
 // Elector tracks the holder of a cell and makes this instance the holder when the cell has
@@ -73,8 +75,8 @@
 	watchHealthySince time.Time // start of the period without failed store reads; zero after a failure
 	loaded            bool      // all rows have been read once
 	standbys          standbys
-	releasedEpoch     int64 // epoch of a holder that has given the cell up; zero if none has
-	holderRunners     int   // runners that the holder last reported, by a heartbeat or in reply to a hello message
+	releasedEpoch     int64           // epoch of a holder that has given the cell up; zero if none has
+	holderRunners     fingerprint.Set // runners that the holder last reported, by a heartbeat or in reply to a hello message
 	holderClock       clockReading
 	openClaim         *rowVersions // of a claim whose outcome is not known; nil if there is none
 	previousEnd       time.Time    // end of the lease of the holder that this instance is replacing; zero if not known
@@ -192,7 +194,7 @@
 				if b.Ended < r.Version {
 					e.setReleased(b.Ended)
 				}
-				e.heartbeat, e.lastHeartbeat, e.holderRunners = b, e.sentBy(b, now), b.Runners
+				e.heartbeat, e.lastHeartbeat, e.holderRunners = b, e.sentBy(b, now), b.Set
 			}
 			e.heartbeatVersion = r.Version
 		case e.key(StandbysRow):
@@ -252,10 +254,10 @@
 }
 
 func (e *Elector) writeHeartbeat(ctx context.Context, term Term, now time.Time) {
-	runners := e.Leader.Runners()
+	runners, set := e.Leader.Runners()
 	e.mu.Lock()
 	e.heartbeatNumber++
-	b := Heartbeat{Incarnation: e.Self.Incarnation, Number: e.heartbeatNumber, Runners: runners, Sent: now.UnixNano()}
+	b := Heartbeat{Incarnation: e.Self.Incarnation, Number: e.heartbeatNumber, Runners: runners, Set: set, Sent: now.UnixNano()}
 	e.mu.Unlock()
 	limited, cancel := context.WithTimeout(ctx, e.Settings.StoreTimeout)
 	defer cancel()
--- a/core/election/elector_test.go
+++ b/core/election/elector_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumward/core/election"
+	"gypsumward/core/fingerprint"
 	"gypsumward/core/table"
 )
 
@@ -202,7 +203,7 @@
 	return len(m.endReasons)
 }
 
-func (m *member) Runners() int { return 3 }
+func (m *member) Runners() (int, fingerprint.Set) { return 3, 33 }
 
 func (m *member) leads() bool {
 	_, _, self := m.elector.Holder()
@@ -355,7 +356,7 @@
 				next := c.holder(t)
 				require.NotSame(t, m, next)
 				require.Equal(t, 2, next.terms()[0].Number)
-				require.Equal(t, 3, next.terms()[0].PreviousRunners, "as reported by the previous holder")
+				require.Equal(t, fingerprint.Set(33), next.terms()[0].PreviousRunners, "as reported by the previous holder")
 				require.Greater(t, next.terms()[0].Epoch, m.terms()[0].Epoch)
 			})
 		})
--- a/core/election/member.go
+++ b/core/election/member.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"time"
+
+	"gypsumward/core/fingerprint"
 )
 
 // Member describes one incarnation of an instance.
@@ -31,6 +33,10 @@
 	Number      int64  `json:"number"`
 	Runners     int    `json:"runners"` // runners that the holder can send orders to
 
+	// Set is the fingerprint of the runners on which the holder may have runs; zero if not
+	// stated.
+	Set fingerprint.Set `json:"set,omitempty"`
+
 	// Sent is when it was sent, in nanoseconds on the clock of the holder; zero if not stated.
 	Sent int64 `json:"sent,omitempty"`
 
@@ -40,9 +46,11 @@
 
 // Term describes the period during which one instance holds a cell.
 type Term struct {
-	Epoch           int64 // version of the holder row; the fencing token
-	Number          int   // term number, counted from 1
-	PreviousRunners int   // runners that the previous holder last reported
+	Epoch  int64 // version of the holder row; the fencing token
+	Number int   // term number, counted from 1
+	// PreviousRunners is the fingerprint of the runners on which the previous holder may have
+	// runs, as last reported; zero if it is not known.
+	PreviousRunners fingerprint.Set
 	// PreviousEpoch is the epoch of the holder that has handed the cell over; zero if none has.
 	PreviousEpoch int64
 	// PreviousEnd is when the lease of the previous holder will certainly have expired; zero if
--- a/core/election/standbys.go
+++ b/core/election/standbys.go
@@ -115,7 +115,7 @@
 	}
 	e.holderClock = clockReading{incarnation: b.Incarnation, sent: timestamp, arrived: now}
 	if version > e.heartbeatVersion {
-		e.heartbeat, e.lastHeartbeat, e.holderRunners, e.heartbeatVersion = b, e.sentBy(b, now), b.Runners, version
+		e.heartbeat, e.lastHeartbeat, e.holderRunners, e.heartbeatVersion = b, e.sentBy(b, now), b.Set, version
 	}
 }
 
@@ -170,11 +170,14 @@
 // takes over at once. The term must be over. One attempt is made.
 func (e *Elector) Release(ctx context.Context, t Term) {
 	e.Released(t.Epoch)
+	e.mu.Lock()
+	last := Heartbeat{Incarnation: e.Self.Incarnation, Set: e.heartbeat.Set, Ended: t.Epoch}
+	e.mu.Unlock()
 	limited, cancel := context.WithTimeout(ctx, e.Settings.StoreTimeout)
 	defer cancel()
 	written, err := e.Store.Write(limited, table.Write{Ops: []table.Op{
 		{Key: e.key(HolderRow), IfVersion: t.Epoch, CheckOnly: true},
-		{Key: e.key(HeartbeatRow), IfVersion: table.AnyVersion, Value: encode(Heartbeat{Incarnation: e.Self.Incarnation, Ended: t.Epoch})},
+		{Key: e.key(HeartbeatRow), IfVersion: table.AnyVersion, Value: encode(last)},
 	}})
 	_ = e.Log.Log("event", "release", "epoch", t.Epoch, "written", written.Committed, "err", err)
 }
--- a/core/election/transfer_test.go
+++ b/core/election/transfer_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"gypsumward/core/fingerprint"
 )
 
 // TestTransferLate hands a cell over while the store carries writes out late and without an
@@ -71,3 +73,26 @@
 		}
 	})
 }
+
+// TestRelease ends the term of a holder that has nobody to hand the cell over to. A standby
+// that comes later takes over at once, though it has been told nothing, and learns on which
+// runners the holder may have runs. The heartbeats of the holder end.
+func TestRelease(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a")
+		time.Sleep(3 * time.Second)
+		former := c.holder(t)
+		former.elector.StopClaiming()
+		former.elector.Release(t.Context(), former.terms()[0])
+		time.Sleep(50 * time.Millisecond)
+		next := c.start("b", "b@1")
+		next.promise()
+		time.Sleep(400 * time.Millisecond)
+		require.Len(t, next.terms(), 1)
+		require.Equal(t, fingerprint.Set(33), next.terms()[0].PreviousRunners)
+		require.Equal(t, 1, former.losses())
+		time.Sleep(3 * time.Second)
+		require.True(t, next.leads())
+	})
+}
--- a/core/eventloop/loop.go
+++ b/core/eventloop/loop.go
@@ -11,6 +11,7 @@
 
 	"gypsumward/core/cell"
 	"gypsumward/core/election"
+	"gypsumward/core/fingerprint"
 	"gypsumward/core/monotonic"
 	"gypsumward/core/order"
 	"gypsumward/core/overload"
@@ -72,9 +73,10 @@
 	cell             *cell.Cell
 	messages         chan cell.Message
 	done             chan struct{}
-	runnerCount      atomic.Int64 // runners that orders can be sent to
-	answeringRunners atomic.Int64 // runners in the directory that answer
-	listedRunners    atomic.Int64 // runners in the directory
+	runnerCount      atomic.Int64  // runners that orders can be sent to
+	runnerSet        atomic.Uint64 // fingerprint of the runners that may have runs
+	answeringRunners atomic.Int64  // runners in the directory that answer
+	listedRunners    atomic.Int64  // runners in the directory
 	idle             atomic.Bool
 	overload         overload.Detector
 	calls            sync.WaitGroup
@@ -149,6 +151,7 @@
 // publish updates the figures that other goroutines read.
 func (l *Loop) publish() {
 	l.runnerCount.Store(int64(l.cell.RunnerCount()))
+	l.runnerSet.Store(uint64(l.cell.RunnerSet(l.Clock.Now())))
 	answering, listed := l.cell.ReachableRunners(l.Clock.Now())
 	l.answeringRunners.Store(int64(answering))
 	l.listedRunners.Store(int64(listed))
@@ -169,6 +172,10 @@
 // RunnerCount returns the number of runners that orders can be sent to.
 func (l *Loop) RunnerCount() int { return int(l.runnerCount.Load()) }
 
+// RunnerSet returns the fingerprint of the runners that may have runs; zero if it is not known
+// yet.
+func (l *Loop) RunnerSet() fingerprint.Set { return fingerprint.Set(l.runnerSet.Load()) }
+
 // ReachableRunners returns how many of the runners in the directory answer, and how many
 // there are in the directory.
 func (l *Loop) ReachableRunners() (answering, listed int) {
@@ -275,12 +282,20 @@
 
 func (m deposeMessage) Apply(c *cell.Cell, now time.Time) { c.Depose(now, m.reason) }
 
-// PreviousEnded notifies the cell that the previous holder has ended its term.
-func (l *Loop) PreviousEnded() { l.Post(previousEndedMessage{}) }
+// PreviousEnded notifies the cell that the previous holder has ended its term, and of the
+// runners on which it may have runs although they are not in the directory.
+func (l *Loop) PreviousEnded(unlisted []cell.RunnerInfo) { l.Post(previousEndedMessage{unlisted}) }
+
+type previousEndedMessage struct{ unlisted []cell.RunnerInfo }
 
-type previousEndedMessage struct{}
+func (m previousEndedMessage) Apply(c *cell.Cell, now time.Time) { c.PreviousEnded(now, m.unlisted) }
 
-func (previousEndedMessage) Apply(c *cell.Cell, now time.Time) { c.PreviousEnded(now) }
+// Unlisted returns the runners that may have runs and are not in the directory. It may be
+// called once the term is over.
+func (l *Loop) Unlisted() []cell.RunnerInfo {
+	<-l.done
+	return l.cell.Unlisted()
+}
 
 // Drain makes the cell start no further tasks, so that it can be handed over.
 func (l *Loop) Drain() { l.Post(drainMessage{}) }
--- a/core/proxy/hello.go
+++ b/core/proxy/hello.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"gypsumward/core/cell"
+	"gypsumward/core/eventloop"
 	"gypsumward/core/promise"
 	"gypsumward/core/span"
 )
@@ -128,13 +130,14 @@
 
 // handed is the message of a holder that has handed the cell over to the receiver.
 type handed struct {
-	Epoch int64 `json:"epoch,omitempty"` // of the term that has ended
+	Epoch    int64             `json:"epoch,omitempty"` // of the term that has ended
+	Unlisted []cell.RunnerInfo `json:"list,omitempty"`  // runners with runs that are not in the directory
 }
 
-// AnnounceHolder notifies an instance that the row of the holder names it, and that the term
-// of the given epoch, of this instance, has ended.
-func (p *Proxy) AnnounceHolder(ctx context.Context, addr string, ended int64) error {
-	return p.Client.Call(ctx, addr, p.method(methodHolder), handed{ended}, nil)
+// AnnounceHolder notifies an instance that the row of the holder names it, that the term of l,
+// of this instance, has ended, and of the runners on which it may have runs.
+func (p *Proxy) AnnounceHolder(ctx context.Context, addr string, l *eventloop.Loop) error {
+	return p.Client.Call(ctx, addr, p.method(methodHolder), handed{Epoch: l.Term.Epoch, Unlisted: l.Unlisted()}, nil)
 }
 
 // handleHanded looks whether the row of the holder names this instance, since the message
@@ -142,7 +145,7 @@
 func (p *Proxy) handleHanded(ctx context.Context, m handed) (struct{}, error) {
 	err := p.Elector.Lookup(ctx)
 	if l := p.currentLoop(); l != nil && m.Epoch != 0 && l.Term.PreviousEpoch == m.Epoch {
-		l.PreviousEnded()
+		l.PreviousEnded(m.Unlisted)
 	}
 	return struct{}{}, err
 }
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -14,6 +14,7 @@
 	"gypsumward/core/cell"
 	"gypsumward/core/election"
 	"gypsumward/core/eventloop"
+	"gypsumward/core/fingerprint"
 	"gypsumward/core/peer"
 	"gypsumward/core/promise"
 	"gypsumward/core/span"
@@ -249,13 +250,13 @@
 	}
 }
 
-// Runners returns the number of runners that orders can be sent to; zero if this instance
-// is not the holder.
-func (p *Proxy) Runners() int {
+// Runners returns the number of runners that orders can be sent to, and the fingerprint of
+// those that may have runs; zero if this instance is not the holder.
+func (p *Proxy) Runners() (count int, set fingerprint.Set) {
 	if l := p.currentLoop(); l != nil {
-		return l.RunnerCount()
+		return l.RunnerCount(), l.RunnerSet()
 	}
-	return 0
+	return 0, 0
 }
 
 // CurrentLoop returns the loop of this instance, or nil if it is not the holder.
--- a/gypsumward/hosted/participant.go
+++ b/gypsumward/hosted/participant.go
@@ -199,17 +199,17 @@
 		return false
 	}
 	<-c.Done()
-	c.p.announce(c.Term.Epoch)
+	c.p.announce(c.Loop)
 	return true
 }
 
 // announce notifies the holder that this instance has named, and all others, that the term
-// of the given epoch has ended.
-func (p *participant) announce(ended int64) {
+// of l has ended.
+func (p *participant) announce(l *eventloop.Loop) {
 	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	defer cancel()
 	n := p.elector.Notice()
-	err := p.proxy.AnnounceHolder(ctx, n.Holder.Addr, ended)
+	err := p.proxy.AnnounceHolder(ctx, n.Holder.Addr, l)
 	_ = p.log.Log("event", "handed", "to", n.Holder.Node, "epoch", n.Epoch, "err", err)
 	p.host.board.Publish(ctx, p.name, n)
 }
