cell: tell the next holder of all occupied runners

Cause: random plays (TestAnyFaults, several thousand) with directory losses at takeovers broke TWICE. Traces show three ways. (1) A holder that is replaced before it has taken over itself reported its own set of runners, so the third holder trusted a list that lacked a runner of the first. (2) The handed list held only the runners missing from the directory as the previous holder had last read it; one that the directory lost after that read was in no list. (3) A runner that was listed but silent when the next holder began, and lost by the directory thereafter, was waited for no longer.

Now a holder reports no set of runners before it has taken over, and hands over the entries of all runners with runs or with ends that are not stored, with a flag whether these are all. The next holder waits for each of them, listed or not.

The same plays showed that knowledge of the runners on which a task failed was lost with the holder, and that a gang whose members failed one after the other on one bad runner got its last attempt there as well: the runners to avoid are now kept with the failures in the progress row, and a gang keeps off a runner as a whole if the others can hold it.

Conclusion: a list that is handed over must not depend on how the receiver sees the directory."

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -111,15 +111,17 @@
 }
 
 // PreviousEnded records that the previous holder has ended its term: it extends no lease any
-// more, and the runners on which it may have runs are those of the directory and the given
-// ones.
-func (c *Cell) PreviousEnded(now time.Time, unlisted []RunnerInfo) {
+// more. If complete is true, it and its predecessors may have left runs, or ends that are not
+// in the rows, on the given runners only.
+func (c *Cell) PreviousEnded(now time.Time, occupied []RunnerInfo, complete bool) {
 	if c.deposed || c.takenOver {
 		return
 	}
-	c.previousKnown = true
-	for _, entry := range unlisted {
-		if c.runners[entry.ID] == nil {
+	c.previousKnown = complete
+	for _, entry := range occupied {
+		if r := c.runners[entry.ID]; r != nil {
+			r.handedOver = true
+		} else {
 			c.addUnlisted(now, entry)
 		}
 	}
@@ -178,27 +180,31 @@
 	return n
 }
 
-// RunnerSet returns the fingerprint of the ids of the runners that may have runs.
+// RunnerSet returns the fingerprint of the ids of the runners that may have runs, or get some
+// without becoming listed first. It is zero while there may be runs of previous holders on
+// others.
 func (c *Cell) RunnerSet(now time.Time) fingerprint.Set {
+	if !c.takenOver {
+		return 0
+	}
 	return fingerprint.Of(func(yield func(string) bool) {
 		for _, r := range c.sorted {
-			if (r.isListed(now) || len(r.runs) > 0) && !yield(r.ID) {
+			if (r.inDirectory || r.inGrace(now) || len(r.runs) > 0) && !yield(r.ID) {
 				return
 			}
 		}
 	})
 }
 
-// Unlisted returns the entries of the runners that may have runs and are not in the
-// directory.
-func (c *Cell) Unlisted() []RunnerInfo {
-	var list []RunnerInfo
+// Occupied returns the entries of the runners that may have runs, or ends that are not in the
+// rows. Complete is false if there may be such of previous holders on others.
+func (c *Cell) Occupied() (runners []RunnerInfo, complete bool) {
 	for _, r := range c.sorted {
-		if !r.inDirectory && len(r.runs) > 0 {
-			list = append(list, r.RunnerInfo)
+		if len(r.runs) > 0 || len(r.unackedEnds) > 0 {
+			runners = append(runners, r.RunnerInfo)
 		}
 	}
-	return list
+	return runners, c.takenOver
 }
 
 // OrderLatency returns the mean time from when orders are sent until their replies are
--- a/core/cell/directory.go
+++ b/core/cell/directory.go
@@ -124,7 +124,7 @@
 		r.speed = speed{kind: kind}
 	}
 	r.RunnerInfo = entry
-	r.inDirectory, r.unlistedAt, r.handedOver = true, time.Time{}, false
+	r.inDirectory, r.unlistedAt = true, time.Time{}
 	if replaced && r.incarnation != 0 {
 		c.log("event", "runner", "runner", entry.ID, "state", "restarted", "born", entry.Incarnation, "addr", entry.Addr)
 		c.fence(now, r)
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -159,7 +159,7 @@
 	if isServing(t.spec()) && r.opportunisticCPU() > 0 {
 		score -= 30
 	}
-	if slices.Contains(t.triedRunners, r) {
+	if t.triedOn(r) {
 		score -= 40
 	}
 	return score
@@ -183,7 +183,7 @@
 	if r.health.consecutiveFailures > 0 && len(r.runs)+r.plannedMembers > 0 {
 		return false // after a failure, one run at a time until one succeeds
 	}
-	if slices.Contains(t.triedRunners, r) && c.spareLastAttempt(now, t, required) {
+	if t.triedOn(r) && c.spareLastAttempt(now, t, required) {
 		return false
 	}
 	if s.MaxPerRunner > 0 {
@@ -198,17 +198,33 @@
 	return true
 }
 
-// spareLastAttempt reports whether the next failure of t would be its last and a runner on
-// which it was not tried can run it, now or when capacity becomes free.
+// spareLastAttempt reports whether the next failure of t would be its last, and runners on
+// which it was not tried have the capacity for it, or for its gang, now or once they are free.
 func (c *Cell) spareLastAttempt(now time.Time, t *task, required Resources) bool {
 	if t.spec().LongRunning || t.failures()+1 < t.job.Queue.MaxAttempts {
 		return false
 	}
-	return slices.ContainsFunc(c.sorted, func(r *runner) bool {
-		return r.Service == t.job.Queue.Service && r.isListed(now) && !r.Draining && r.fenced && !r.isSilent(now, c.Settings.SilenceTimeout) &&
-			r.Capacity.fits(required) && (t.spec().RequiredLabel == "" || slices.Contains(r.Labels, t.spec().RequiredLabel)) &&
-			t.adviceAllows(now, r) && !slices.Contains(t.triedRunners, r)
-	})
+	places, members := 0, len(t.members())
+	for _, r := range c.sorted {
+		if r.Service != t.job.Queue.Service || !r.isListed(now) || r.Draining || !r.fenced || r.isSilent(now, c.Settings.SilenceTimeout) ||
+			(t.spec().RequiredLabel != "" && !slices.Contains(r.Labels, t.spec().RequiredLabel)) || !t.adviceAllows(now, r) || t.triedOn(r) {
+			continue
+		}
+		n := r.Capacity.capacityFor(required)
+		if limit := t.spec().MaxPerRunner; limit > 0 {
+			n = min(n, limit)
+		}
+		places += n
+	}
+	return places >= members
+}
+
+// triedOn reports whether later runs of t, or of another member of its gang, avoid r.
+func (t *task) triedOn(r *runner) bool {
+	if g := t.job.gang(t.step); g != nil {
+		return slices.ContainsFunc(g, func(m *task) bool { return slices.Contains(m.triedRunners, r.ID) })
+	}
+	return slices.Contains(t.triedRunners, r.ID)
 }
 
 // startRun accounts for a new run of t on r and sends the start order. It does nothing if
--- a/core/cell/ends.go
+++ b/core/cell/ends.go
@@ -126,7 +126,7 @@
 func (c *Cell) processLongRunningEnd(now time.Time, t *task, x *run, e order.EndedRun, ref endRef) {
 	t.lastRun = max(t.lastRun, e.Run)
 	if e.Reason == order.Failed {
-		t.triedRunners = []*runner{ref.runner}
+		t.triedRunners = []string{ref.runner.ID}
 		if x != nil && now.Sub(x.startSent) < startupPeriod {
 			ref.runner.health.recordFailure(now)
 		}
@@ -178,7 +178,7 @@
 	t.failedRuns = append(t.failedRuns, e.Run)
 	j.failureCount++
 	c.chargeFailure(now, j, r)
-	t.triedRunners = append(t.triedRunners, r)
+	t.triedRunners = append(t.triedRunners, r.ID)
 	c.log("event", "fail", "job", j.ID, "task", t.index, "run", e.Run, "runner", r.ID, "fails", len(t.failedRuns), "of", j.Queue.MaxAttempts)
 	c.release(x)
 	c.deferAck(j, ref)
--- a/core/cell/health.go
+++ b/core/cell/health.go
@@ -135,7 +135,7 @@
 			return
 		}
 	}
-	x.task.triedRunners = append(x.task.triedRunners, x.runner)
+	x.task.triedRunners = append(x.task.triedRunners, x.runner.ID)
 	x.runner.health.recordFailure(now)
 	x.runner.speed.updateOwn(1 / stragglerFactor)
 	c.stop(now, x, "stalled or too slow")
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -86,9 +86,9 @@
 	runFloor     int   // this holder starts runs with numbers above this one
 	failedRuns   []int // numbers of the failed runs
 	done         bool
-	ready        bool      // may be started
-	run          *run      // run that may be alive, or nil
-	triedRunners []*runner // avoided by later runs if possible
+	ready        bool     // may be started
+	run          *run     // run that may be alive, or nil
+	triedRunners []string // ids of runners avoided by later runs if possible
 	checkpoint   checkpoint
 }
 
--- a/core/cell/progress.go
+++ b/core/cell/progress.go
@@ -113,7 +113,7 @@
 	if other == nil || other == x.runner || float64(left) < slowFactor*float64(fromMilliseconds(expected))/other.speed.rate() {
 		return
 	}
-	x.task.triedRunners = append(x.task.triedRunners, x.runner)
+	x.task.triedRunners = append(x.task.triedRunners, x.runner.ID)
 	x.runner.speed.replace(math.Log(expected / milliseconds(total)))
 	c.Metrics.Count("moved_slow", 1)
 	c.stop(now, x, "slower than elsewhere")
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -109,7 +109,7 @@
 	}
 	for _, f := range p.Failures {
 		if t := j.taskAt(f.Step, f.Index); t != nil {
-			t.failedRuns = f.Runs
+			t.failedRuns, t.triedRunners = f.Runs, f.Runners
 		}
 	}
 	for _, saved := range p.Checkpoints {
--- a/core/cell/rows.go
+++ b/core/cell/rows.go
@@ -37,6 +37,9 @@
 	Step  int   `json:"step"`
 	Index int   `json:"index"`
 	Runs  []int `json:"runs"`
+
+	// Runners holds the ids of the runners that later runs avoid.
+	Runners []string `json:"on,omitempty"`
 }
 
 // EndRow is the value of the row that holds the end of a job.
@@ -71,7 +74,7 @@
 				p.Checkpoints = append(p.Checkpoints, TaskCheckpoint{Step: s, Index: i, Run: t.checkpoint.run, Value: t.checkpoint.value})
 			}
 			if len(t.failedRuns) > 0 {
-				p.Failures = append(p.Failures, TaskFailures{Step: s, Index: i, Runs: t.failedRuns})
+				p.Failures = append(p.Failures, TaskFailures{Step: s, Index: i, Runs: t.failedRuns, Runners: t.triedRunners})
 			}
 		}
 	}
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -29,7 +29,7 @@
 	RunnerInfo
 	inDirectory     bool
 	unlistedAt      time.Time // when the directory was first read without it; zero if it is in the directory
-	handedOver      bool      // not in the directory, but the previous holder may have runs on it
+	handedOver      bool      // the previous holder may have runs on it
 	incarnation     int64     // start time of the runner; zero if not known
 	tokensIssued    int64     // number of tokens used so far
 	token           int64
@@ -99,14 +99,16 @@
 // that the store has removed although the runner is alive are back within that time.
 const unlistedGrace = 2 * time.Second
 
-// maxUnlistedSilence is the time without a reply after which a runner that is missing from the
-// directory is used no more until it is listed again.
-const maxUnlistedSilence = 200 * time.Millisecond
-
 // isListed reports whether r is in the directory or, as far as that can be told, will soon be
 // there again.
 func (r *runner) isListed(now time.Time) bool {
-	return r.inDirectory || (!r.Draining && r.unansweredSince.IsZero() && now.Sub(r.unlistedAt) < unlistedGrace)
+	return r.inDirectory || (r.inGrace(now) && r.unansweredSince.IsZero())
+}
+
+// inGrace reports whether r may be used, once it answers, although it is missing from the
+// directory.
+func (r *runner) inGrace(now time.Time) bool {
+	return !r.inDirectory && !r.Draining && now.Sub(r.unlistedAt) < unlistedGrace
 }
 
 // isSilent reports whether an order has been without a reply for longer than limit.
@@ -142,9 +144,6 @@
 	if clock > 0 {
 		r.clock, r.clockAt = clock, now
 	}
-	if !r.inDirectory && r.isSilent(now, maxUnlistedSilence) {
-		r.unlistedAt = time.Time{} // the next holder may not know that it is in use again
-	}
 	r.unansweredSince, r.missedProbes = time.Time{}, 0
 }
 
--- a/core/eventloop/loop.go
+++ b/core/eventloop/loop.go
@@ -283,18 +283,25 @@
 func (m deposeMessage) Apply(c *cell.Cell, now time.Time) { c.Depose(now, m.reason) }
 
 // PreviousEnded notifies the cell that the previous holder has ended its term, and of the
-// runners on which it may have runs although they are not in the directory.
-func (l *Loop) PreviousEnded(unlisted []cell.RunnerInfo) { l.Post(previousEndedMessage{unlisted}) }
+// runners on which it may have runs. Complete means that there are no others.
+func (l *Loop) PreviousEnded(occupied []cell.RunnerInfo, complete bool) {
+	l.Post(previousEndedMessage{occupied, complete})
+}
 
-type previousEndedMessage struct{ unlisted []cell.RunnerInfo }
+type previousEndedMessage struct {
+	occupied []cell.RunnerInfo
+	complete bool
+}
 
-func (m previousEndedMessage) Apply(c *cell.Cell, now time.Time) { c.PreviousEnded(now, m.unlisted) }
+func (m previousEndedMessage) Apply(c *cell.Cell, now time.Time) {
+	c.PreviousEnded(now, m.occupied, m.complete)
+}
 
-// Unlisted returns the runners that may have runs and are not in the directory. It may be
-// called once the term is over.
-func (l *Loop) Unlisted() []cell.RunnerInfo {
+// Occupied waits until the term is over and returns the runners that may have runs. Complete is
+// false if there may be others.
+func (l *Loop) Occupied() (runners []cell.RunnerInfo, complete bool) {
 	<-l.done
-	return l.cell.Unlisted()
+	return l.cell.Occupied()
 }
 
 // Drain makes the cell start no further tasks, so that it can be handed over.
--- a/core/proxy/hello.go
+++ b/core/proxy/hello.go
@@ -131,13 +131,15 @@
 // handed is the message of a holder that has handed the cell over to the receiver.
 type handed struct {
 	Epoch    int64             `json:"epoch,omitempty"` // of the term that has ended
-	Unlisted []cell.RunnerInfo `json:"list,omitempty"`  // runners with runs that are not in the directory
+	Occupied []cell.RunnerInfo `json:"list,omitempty"`  // runners that may have runs
+	Complete bool              `json:"whole,omitempty"` // there are no others
 }
 
 // AnnounceHolder notifies an instance that the row of the holder names it, that the term of l,
 // of this instance, has ended, and of the runners on which it may have runs.
 func (p *Proxy) AnnounceHolder(ctx context.Context, addr string, l *eventloop.Loop) error {
-	return p.Client.Call(ctx, addr, p.method(methodHolder), handed{Epoch: l.Term.Epoch, Unlisted: l.Unlisted()}, nil)
+	occupied, complete := l.Occupied()
+	return p.Client.Call(ctx, addr, p.method(methodHolder), handed{l.Term.Epoch, occupied, complete}, nil)
 }
 
 // handleHanded looks whether the row of the holder names this instance, since the message
@@ -145,7 +147,7 @@
 func (p *Proxy) handleHanded(ctx context.Context, m handed) (struct{}, error) {
 	err := p.Elector.Lookup(ctx)
 	if l := p.currentLoop(); l != nil && m.Epoch != 0 && l.Term.PreviousEpoch == m.Epoch {
-		l.PreviousEnded(m.Unlisted)
+		l.PreviousEnded(m.Occupied, m.Complete)
 	}
 	return struct{}{}, err
 }
