cell, election, proxy: a takeover knows runners that joined last, and earlier terms

Cause: reading the way in which the next holder learns where there may be runs showed three more holes, each shown by a test that fails first. A runner now gets work once the row of the heartbeat names it. (2) The heartbeat row may be of an earlier term when a holder dies before its first heartbeat; the set in it was taken for that of the holder that is replaced: TestEarlierTermsHeartbeat. Versions tell now. (3) A holder that hands its cell over before it has taken over itself: the holder before it may not know yet that it was replaced, and extend leases. The message of an incomplete holder no longer shortens the wait, and the election carries the end of a lease that was handed on over to the next term (TestEndOfHandedOverTerm).

Cost: a runner that joins waits for the next heartbeat, 150 ms on average.

Conclusion: the set of runners that is reported must be ahead of their use.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -80,6 +80,7 @@
 	takenOver        bool      // no unaccounted run of a previous holder can be left
 	previousKnown    bool      // the previous holder has said on which runners it may have runs
 	takeoverDeadline time.Time // when all leases of previous holders have expired
+	sets             runnerSets
 	deposed          bool
 	passPending      bool      // RunPass has work to do
 	draining         bool      // sends no more start orders
@@ -110,9 +111,9 @@
 	}
 }
 
-// PreviousEnded records that the previous holder has ended its term: it extends no lease any
-// more. If complete is true, it and its predecessors may have left runs, or ends that are not
-// in the rows, on the given runners only.
+// PreviousEnded records that the previous holder has ended its term, and may have left runs, or
+// ends that are not in the rows, on the given runners. If complete is true, no runs or ends of
+// its predecessors are left on others, and none of them extends a lease any more.
 func (c *Cell) PreviousEnded(now time.Time, occupied []RunnerInfo, complete bool) {
 	if c.deposed || c.takenOver {
 		return
@@ -125,7 +126,7 @@
 			c.addUnlisted(now, entry)
 		}
 	}
-	if deadline := now.Add(c.Settings.longestLease()); deadline.Before(c.takeoverDeadline) {
+	if deadline := now.Add(c.Settings.longestLease()); complete && deadline.Before(c.takeoverDeadline) {
 		c.takeoverDeadline = deadline
 	}
 }
@@ -180,22 +181,6 @@
 	return n
 }
 
-// RunnerSet returns the fingerprint of the ids of the runners that may have runs, or get some
-// without becoming listed first. It is zero while there may be runs of previous holders on
-// others.
-func (c *Cell) RunnerSet(now time.Time) fingerprint.Set {
-	if !c.takenOver {
-		return 0
-	}
-	return fingerprint.Of(func(yield func(string) bool) {
-		for _, r := range c.sorted {
-			if (r.inDirectory || r.inGrace(now) || len(r.runs) > 0) && !yield(r.ID) {
-				return
-			}
-		}
-	})
-}
-
 // Occupied returns the entries of the runners that may have runs, or ends that are not in the
 // rows. Complete is false if there may be such of previous holders on others.
 func (c *Cell) Occupied() (runners []RunnerInfo, complete bool) {
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -50,8 +50,11 @@
 // a core free. The slice is valid until the next call.
 func (c *Cell) usable(now time.Time, least int) []*runner {
 	list := c.scratch[:0]
+	if c.takenOver {
+		c.updateRunnerSet(now)
+	}
 	for _, r := range c.sorted {
-		if r.free().CPU >= least && r.isListed(now) && !r.Draining && r.fenced && !r.health.isBackingOff(now) && !r.isSilent(now, c.answerTimeout(r)) {
+		if r.free().CPU >= least && c.isReported(r) && r.isListed(now) && !r.Draining && r.fenced && !r.health.isBackingOff(now) && !r.isSilent(now, c.answerTimeout(r)) {
 			list = append(list, r)
 		}
 	}
--- a/core/cell/lost_test.go
+++ b/core/cell/lost_test.go
@@ -375,6 +375,31 @@
 	}
 }
 
+// TestHandedOverDuringTakeover has a holder hand the cell over before it has taken over from a
+// previous one that goes on extending leases, as it has not learned yet that it was replaced.
+// The last holder must wait for the first one as well.
+func TestHandedOverDuringTakeover(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 2, 32000)
+	first := w.takeOver()
+	w.run(time.Second)
+	w.runners["r1"].unfit = true
+	j := newJob(1, false, work.Step{Count: 2, CPU: 16000, Estimate: 2500})
+	w.submit(j)
+	w.run(210 * time.Millisecond) // the first holder has just extended its lease
+	require.Len(t, w.runners["r0"].runs, 2)
+	w.runners["r1"].unfit = false
+	w.runners["r0"].inDirectory = false
+	w.join("r9")
+	first.unreachableRunners = map[string]bool{"r1": true, "r9": true} // they would tell of the next holder
+	next := w.takeOver()
+	w.run(50 * time.Millisecond)
+	require.Zero(t, next.cell.RunnerSet(w.now))
+	w.handOver()
+	w.run(20 * time.Second)
+	checkSettled(t, w)
+}
+
 // TestRunnerSet checks that a runner that the directory has lost is reported as long as it may
 // be used, also while an order to it is not answered, so that the next holder knows of it.
 func TestRunnerSet(t *testing.T) {
@@ -394,3 +419,27 @@
 	w.run(time.Second)
 	require.Equal(t, fingerprint.Of(slices.Values([]string{"r1"})), p.cell.RunnerSet(w.now))
 }
+
+// TestJoinedSinceHeartbeat has a runner join right after a heartbeat and be lost by the
+// directory, with tasks that may run there, before the next one. No report of the holder that
+// is killed names it.
+func TestJoinedSinceHeartbeat(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		w := newWorld(seed, 2, 32000)
+		w.runners["r1"].unfit = true
+		w.takeOver()
+		w.run(1210 * time.Millisecond)
+		j := newJob(1, true, work.Step{Count: 4, CPU: 16000, Estimate: 2500})
+		w.submit(j)
+		w.join("r9")
+		w.run(100 * time.Millisecond)
+		w.runners["r1"].unfit = false
+		w.runners["r9"].inDirectory = false
+		w.holder().kill()
+		w.takeOver()
+		w.run(20 * time.Second)
+		require.Empty(t, w.violations)
+		require.Equal(t, work.Succeeded, w.outcomes[j.ID].State)
+	}
+}
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -145,11 +145,17 @@
 func (w *world) holder() *process { return w.processes[len(w.processes)-1] }
 
 // takeOver starts a new holder, whose row is written at once, and returns its process. Like an
-// election it tells the new holder when the lease of the previous one ends, if that goes on.
+// election it tells the new holder when the lease of the previous one ends, if that goes on,
+// and of those before it, if the previous one has not taken over yet.
 func (w *world) takeOver() *process {
 	previousEnd := time.Time{}
-	if len(w.processes) > 0 && !w.holder().killed && w.holder().leaseUntil.After(w.now) {
-		previousEnd = w.holder().leaseUntil
+	for _, p := range slices.Backward(w.processes) {
+		if !p.killed && p.leaseUntil.After(w.now) && p.leaseUntil.After(previousEnd) {
+			previousEnd = p.leaseUntil
+		}
+		if p.runnerSet != 0 {
+			break
+		}
 	}
 	return w.takeOverFrom(previousEnd)
 }
@@ -357,6 +363,7 @@
 			p.leaseUntil = sent.Add(simHolderLease)
 			p.cell.ExtendLease(p.leaseUntil)
 			p.runnerSet = p.cell.RunnerSet(p.world.now)
+			p.cell.Reported(p.runnerSet)
 		}
 	})
 	p.world.after(300*time.Millisecond, p.renew)
--- a/core/election/claim_test.go
+++ b/core/election/claim_test.go
@@ -140,3 +140,55 @@
 	e.ApplyNotice(election.Notice{Holder: election.Holder{Member: e.Self, TermNumber: 2}, Epoch: 11})
 	require.Equal(t, fingerprint.Set(7), m.terms()[0].PreviousRunners)
 }
+
+// TestEarlierTermsHeartbeat replaces a holder that has written no heartbeat. The runners that
+// the one before it reported, which may even have been the same instance, are not its runners.
+func TestEarlierTermsHeartbeat(t *testing.T) {
+	t.Parallel()
+	for _, between := range []string{"h", "k"} {
+		e := election.New("c0", election.Settings{})
+		m := &member{elector: e}
+		e.Clock, e.Self, e.Leader, e.Store = clock{}, election.Member{Node: "z", Incarnation: "z@1"}, m, &memstore.Store{}
+		notice := func(node string, epoch int64, number int) {
+			e.ApplyNotice(election.Notice{Holder: election.Holder{Member: election.Member{Node: node, Incarnation: node + "@1"}, TermNumber: number}, Epoch: epoch})
+		}
+		notice("h", 5, 1)
+		e.ReportHeartbeat(election.Heartbeat{Incarnation: "h@1", Number: 7, Set: 7}, 10, 1)
+		notice(between, 12, 2)
+		notice("z", 14, 3)
+		require.Zero(t, m.terms()[0].PreviousRunners)
+	}
+}
+
+// TestEndOfHandedOverTerm replaces a holder soon after it got the cell from another by a
+// transfer, which that one may not have learned of. If it has not reported its runners, it may
+// not have taken over, so the next term must know when the lease of the first one ends.
+func TestEndOfHandedOverTerm(t *testing.T) {
+	t.Parallel()
+	for _, reported := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			e := election.New("c0", election.Settings{})
+			m := &member{elector: e}
+			e.Clock, e.Self, e.Leader, e.Store = clock{}, election.Member{Node: "z", Incarnation: "z@1"}, m, &memstore.Store{}
+			e.PromisedUntil = func() time.Time { return time.Time{} }
+			notice := func(node string, epoch, previous int64, number int) {
+				e.ApplyNotice(election.Notice{Holder: election.Holder{Member: election.Member{Node: node, Incarnation: node + "@1"}, TermNumber: number, Previous: previous}, Epoch: epoch})
+			}
+			notice("h", 5, 0, 1)
+			notice("k", 12, 5, 2)
+			transferred := time.Now()
+			time.Sleep(200 * time.Millisecond)
+			set := fingerprint.Set(0)
+			if reported {
+				set = 7
+			}
+			e.ReportHeartbeat(election.Heartbeat{Incarnation: "k@1", Number: 1, Set: set}, 13, 1)
+			notice("z", 14, 0, 3)
+			if reported {
+				require.Zero(t, m.terms()[0].PreviousEnd)
+			} else {
+				require.Equal(t, transferred.Add(election.DefaultLeaseDuration), m.terms()[0].PreviousEnd)
+			}
+		})
+	}
+}
--- a/core/election/elector.go
+++ b/core/election/elector.go
@@ -33,6 +33,8 @@
 	BeginTerm(t Term)
 	// Renew extends the lease: no other instance can become the holder before until.
 	Renew(t Term, until time.Time)
+	// Reported notifies of a set returned by Runners that is in the row of the heartbeat.
+	Reported(t Term, set fingerprint.Set)
 	// EndTerm is called when another instance has become the holder.
 	EndTerm(t Term, why string)
 	// Runners returns the number of runners that orders can be sent to, and the fingerprint of
@@ -75,11 +77,11 @@
 	watchHealthySince time.Time // start of the period without failed store reads; zero after a failure
 	loaded            bool      // all rows have been read once
 	standbys          standbys
-	releasedEpoch     int64           // epoch of a holder that has given the cell up; zero if none has
-	holderRunners     fingerprint.Set // runners that the holder last reported, by a heartbeat or in reply to a hello message
+	releasedEpoch     int64 // epoch of a holder that has given the cell up; zero if none has
 	holderClock       clockReading
 	openClaim         *rowVersions // of a claim whose outcome is not known; nil if there is none
 	previousEnd       time.Time    // end of the lease of the holder that this instance is replacing; zero if not known
+	transferredEnd    time.Time    // end of the leases of the holders that have written another one into the row
 	lastWritten       time.Time    // when the last heartbeat of this instance that was written was sent
 	term              Term         // of this instance, if leading
 	leading           bool
@@ -194,7 +196,7 @@
 				if b.Ended < r.Version {
 					e.setReleased(b.Ended)
 				}
-				e.heartbeat, e.lastHeartbeat, e.holderRunners = b, e.sentBy(b, now), b.Set
+				e.heartbeat, e.lastHeartbeat = b, e.sentBy(b, now)
 			}
 			e.heartbeatVersion = r.Version
 		case e.key(StandbysRow):
@@ -213,20 +215,32 @@
 	}
 	previousTerm := e.term
 	wasLeading := e.leading
+	previousRunners := fingerprint.Set(0)
+	if e.heartbeatVersion > e.holderVersion { // else it is of an earlier term
+		previousRunners = e.heartbeat.Set
+	}
 	e.holder, e.holderVersion, e.lastHeartbeat = h, r.Version, now
 	close(e.changed)
 	e.changed = make(chan struct{})
 	_ = e.Log.Log("event", "holder", "node", h.Node, "life", h.Incarnation, "epoch", r.Version, "round", h.TermNumber)
+	earlierEnd := e.transferredEnd
+	if h.Previous != 0 {
+		// The lease of the previous holder is by a heartbeat, or by promises of all standbys.
+		e.transferredEnd = latest(e.transferredEnd, latest(now.Add(e.Settings.LeaseDuration), e.PromisedUntil()))
+	}
 	e.leading = h.Incarnation == e.Self.Incarnation
 	if wasLeading && previousTerm.Epoch != r.Version {
 		e.Leader.EndTerm(previousTerm, "the holder row names "+h.Node)
 	}
 	if e.leading {
-		e.term = Term{Epoch: r.Version, Number: h.TermNumber, PreviousRunners: e.holderRunners, PreviousEpoch: h.Previous, PreviousEnd: e.previousEnd}
-		if h.Previous != 0 {
-			// The lease of the previous holder is by a heartbeat, or by promises of all standbys.
-			e.term.PreviousEnd = latest(now.Add(e.Settings.LeaseDuration), e.PromisedUntil())
+		end := e.previousEnd
+		switch {
+		case h.Previous != 0:
+			end = e.transferredEnd
+		case previousRunners == 0 && earlierEnd.After(now):
+			end = earlierEnd // the previous holder may not have taken over from an earlier one
 		}
+		e.term = Term{Epoch: r.Version, Number: h.TermNumber, PreviousRunners: previousRunners, PreviousEpoch: h.Previous, PreviousEnd: end}
 		e.lastWritten = time.Time{}
 		e.Leader.BeginTerm(e.term)
 	}
@@ -274,6 +288,7 @@
 			e.lastWritten, e.heartbeat, e.heartbeatVersion = now, b, max(e.heartbeatVersion, written.Version)
 		}
 		e.mu.Unlock()
+		e.Leader.Reported(term, set)
 		e.Leader.Renew(term, now.Add(e.Settings.LeaseDuration))
 	default:
 		e.applyRows(written.Conflicts)
--- a/core/election/elector_test.go
+++ b/core/election/elector_test.go
@@ -143,8 +143,10 @@
 	begunTerms []election.Term
 	endReasons []string
 	leaseUntil time.Time
-	promisedAt time.Time     // time of the latest promise
-	delay      time.Duration // before a claim
+	runners    fingerprint.Set // that may have runs
+	reported   fingerprint.Set // last set that is in the row
+	promisedAt time.Time       // time of the latest promise
+	delay      time.Duration   // before a claim
 }
 
 func (m *member) BeginTerm(t election.Term) {
@@ -153,6 +155,12 @@
 	m.begunTerms = append(m.begunTerms, t)
 }
 
+func (m *member) Reported(_ election.Term, set fingerprint.Set) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reported = set
+}
+
 func (m *member) Renew(_ election.Term, until time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -203,7 +211,19 @@
 	return len(m.endReasons)
 }
 
-func (m *member) Runners() (int, fingerprint.Set) { return 3, 33 }
+func (m *member) Runners() (int, fingerprint.Set) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return 3, m.runners
+}
+
+// setRunners sets the runners of m, and returns the last set of m that is in the row.
+func (m *member) setRunners(s fingerprint.Set) (reported fingerprint.Set) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.runners = s
+	return m.reported
+}
 
 func (m *member) leads() bool {
 	_, _, self := m.elector.Holder()
@@ -271,7 +291,7 @@
 }
 
 func (c *cluster) start(name, incarnation string) *member {
-	m := &member{cluster: c, name: name}
+	m := &member{cluster: c, name: name, runners: 33}
 	e := election.New("c0", election.Settings{})
 	e.Self = election.Member{Node: name, Incarnation: incarnation, Addr: name}
 	e.Store, e.Clock, e.Leader = memberStore{c.store, name}, clock{}, m
@@ -389,6 +409,25 @@
 	})
 }
 
+// TestReported changes the runners of a holder while the store is unreachable. It must take them
+// for reported once a heartbeat with them has been written, not before.
+func TestReported(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a", "b")
+		time.Sleep(3 * time.Second)
+		m := c.holder(t)
+		require.Equal(t, fingerprint.Set(33), m.setRunners(33))
+		c.setUnreachable("all", true)
+		m.setRunners(44)
+		time.Sleep(time.Second)
+		require.Equal(t, fingerprint.Set(33), m.setRunners(44))
+		c.setUnreachable("all", false)
+		time.Sleep(time.Second)
+		require.Equal(t, fingerprint.Set(44), m.setRunners(44))
+	})
+}
+
 // TestStoreDown makes the store unreachable for all members. No member may take over
 // when the store is back, although no heartbeat was seen for long.
 func TestStoreDown(t *testing.T) {
--- a/core/election/standbys.go
+++ b/core/election/standbys.go
@@ -115,7 +115,7 @@
 	}
 	e.holderClock = clockReading{incarnation: b.Incarnation, sent: timestamp, arrived: now}
 	if version > e.heartbeatVersion {
-		e.heartbeat, e.lastHeartbeat, e.holderRunners, e.heartbeatVersion = b, e.sentBy(b, now), b.Set, version
+		e.heartbeat, e.lastHeartbeat, e.heartbeatVersion = b, e.sentBy(b, now), version
 	}
 }
 
--- a/core/eventloop/loop.go
+++ b/core/eventloop/loop.go
@@ -268,6 +268,13 @@
 
 func (m renewMessage) Apply(c *cell.Cell, _ time.Time) { c.ExtendLease(m.until) }
 
+// Reported notifies the cell that a set of its runners is in the row of the heartbeat.
+func (l *Loop) Reported(set fingerprint.Set) { l.Post(reportedMessage{set}) }
+
+type reportedMessage struct{ set fingerprint.Set }
+
+func (m reportedMessage) Apply(c *cell.Cell, _ time.Time) { c.Reported(m.set) }
+
 // ApplySettings applies new settings to the cell.
 func (l *Loop) ApplySettings(s cell.Settings) { l.Post(adjustMessage{s}) }
 
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -243,6 +243,13 @@
 	}
 }
 
+// Reported notifies the cell that a set of its runners is in the row of the heartbeat.
+func (p *Proxy) Reported(t election.Term, set fingerprint.Set) {
+	if l := p.currentLoop(); l != nil && l.Term.Epoch == t.Epoch {
+		l.Reported(set)
+	}
+}
+
 // EndTerm ends a term. It has no effect if the term is not the current one.
 func (p *Proxy) EndTerm(t election.Term, why string) {
 	if l := p.currentLoop(); l != nil && l.Term.Epoch == t.Epoch {
