cell: the write of a stored job's end counts when a runner is chosen

Change: the moving average of the latency of writes is taken off the time that a stored job has left when a runner is chosen or a slow run is moved, and is part of the chain that admission looks at. Transient jobs are as before.

--- a/core/cell/admit.go
+++ b/core/cell/admit.go
@@ -66,9 +66,10 @@
 	return backlog.Admit(now, waiting, backlog.Job{Due: j.due, Work: fromMilliseconds(own / capacity), Chain: c.expectedChain(j)})
 }
 
-// expectedChain returns the expected run time of the longest chain of steps of j.
+// expectedChain returns the expected time from the first start of a task of j until its end is
+// known: the run times of the longest chain of steps, and the write of the end if j is stored.
 func (c *Cell) expectedChain(j *job) time.Duration {
-	return fromMilliseconds(j.CriticalPath(func(step int) float64 { return c.expectedRunTime(j, step) }))
+	return fromMilliseconds(j.CriticalPath(func(step int) float64 { return c.expectedRunTime(j, step) })) + c.endLatency(j)
 }
 
 // hasRoom reports whether all tasks of j that depend on no others can start at once, beside
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -122,7 +122,7 @@
 func (c *Cell) chooseRunner(now time.Time, t *task, usable []*runner) *runner {
 	required := requirements(t.spec())
 	expected := c.expectedRunTime(t.job, t.step)
-	timeLeft := milliseconds(t.job.due.Sub(now))
+	timeLeft := milliseconds(t.job.due.Sub(now) - c.endLatency(t.job))
 	var best *runner
 	bestScore := 0.0
 	for _, r := range usable {
--- a/core/cell/progress.go
+++ b/core/cell/progress.go
@@ -105,7 +105,7 @@
 	total, ok := x.measuredTotal(fromMilliseconds(expected))
 	left := total - now.Sub(x.startAnswered)
 	slow := time.Duration(slowFactor*float64(fromMilliseconds(expected))) + slowMargin
-	if !ok || left < slow || now.Add(left).Before(x.task.job.due) {
+	if !ok || left < slow || now.Add(left+c.endLatency(x.task.job)).Before(x.task.job.due) {
 		return
 	}
 	required := requirements(x.task.spec())
--- a/core/cell/transaction.go
+++ b/core/cell/transaction.go
@@ -62,6 +62,7 @@
 		return
 	}
 	c.Metrics.Observe("write", now.Sub(tx.sent))
+	c.writer.observeLatency(now.Sub(tx.sent))
 	if !c.writer.failingSince.IsZero() {
 		c.log("event", "store", "state", "back", "after", now.Sub(c.writer.failingSince))
 	}
--- a/core/cell/writer.go
+++ b/core/cell/writer.go
@@ -34,6 +34,19 @@
 	transactions map[int64]*transaction
 	removals     []table.Op // removals of rows of ends that are due
 	failingSince time.Time  // since when writes fail; zero if the last one succeeded
+	meanLatency  time.Duration
+}
+
+// observeLatency adds the latency of a write to the moving average.
+func (w *rowWriter) observeLatency(d time.Duration) { w.meanLatency += (d - w.meanLatency) / 8 }
+
+// endLatency returns the expected time from when the last task of j has ended until j has: that
+// of the write of its end, unless it is transient.
+func (c *Cell) endLatency(j *job) time.Duration {
+	if j.Transient {
+		return 0
+	}
+	return c.writer.meanLatency
 }
 
 // markDirty schedules a write of the rows of j.
