cell: a claimed run that is being stopped holds its task until it has ended

Callers saw: two runs of one task of a transient job at the same time (TWICE), after its holder was killed.

Cause: a new holder keeps the runs that it finds and stops those whose job nobody submits again. claimOrphans passed over runs that were being stopped, so a job that came back in those 30 to 50 ms had tasks without a run, which started at once beside the first ones.

Evidence: TestResubmittedWhileStopped submits the job again 1 ms after the stop orders were sent. Before: "TWICE { 0 0 1} runs on r0 (run 1) and starts on r1 (run 1001)", for both tasks. After: passes.

The run now belongs to its task, so the task is not ready before the runner has listed the end of the run. A run that ends done meanwhile counts.

--- a/core/cell/orphan_test.go
+++ b/core/cell/orphan_test.go
@@ -32,6 +32,30 @@
 	require.Empty(t, w.runners["r1"].runs)
 }
 
+// TestResubmittedWhileStopped guards against a second run of a transient task beside the first
+// one: the caller submits its job again while the new holder stops the runs that nobody had
+// claimed.
+func TestResubmittedWhileStopped(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 2, 32000)
+	w.takeOver()
+	j := newJob(1, true, work.Step{Count: 2, CPU: 14000, Estimate: 60000})
+	w.run(time.Second)
+	w.submit(j)
+	w.run(time.Second)
+	w.callerWaits[j.ID] = false
+	w.holder().kill()
+	p := w.takeOver()
+	for p.stopsSent == 0 {
+		w.run(time.Millisecond)
+	}
+	require.Equal(t, 2, len(w.runners["r0"].runs)+len(w.runners["r1"].runs), "runs ended before the caller submitted the job again")
+	w.submit(j)
+	w.run(time.Second)
+	require.Empty(t, w.violations)
+	require.Equal(t, 2, len(w.runners["r0"].runs)+len(w.runners["r1"].runs), "the job was not started again")
+}
+
 // TestFailureCountedOnce guards against counting a failure twice that the previous holder
 // has stored but not acknowledged, so that the runner reports it again.
 func TestFailureCountedOnce(t *testing.T) {
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -85,11 +85,12 @@
 }
 
 // claimOrphans assigns to the tasks of j the runs that runners have reported for them,
-// and stops those that j does not need.
+// and stops those that j does not need. A run that is being stopped is assigned too, so
+// that its task waits for its end.
 func (c *Cell) claimOrphans(now time.Time, j *job) {
 	for _, r := range c.sorted {
 		for _, x := range r.sortedRuns() {
-			if x.task != nil || x.key.task.Job != j.ID || !x.stopSent.IsZero() {
+			if x.task != nil || x.key.task.Job != j.ID {
 				continue
 			}
 			t := j.task(x.key.task)
@@ -102,7 +103,8 @@
 			x.resources = requirements(t.spec())
 			r.used = r.used.add(x.resources)
 			x.task, t.run, t.lastRun = t, x, x.key.run
-			c.log("event", "adopt", "runner", r.ID, "job", j.ID, "task", t.index, "run", x.key.run)
+			c.log("event", "adopt", "runner", r.ID, "job", j.ID, "task", t.index, "run", x.key.run,
+				"stopping", !x.stopSent.IsZero())
 		}
 	}
 }
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -322,6 +322,7 @@
 	frozenUntil        time.Time
 	onDisconnect       []func() // called when its connections to callers break
 	holdsSent          int
+	stopsSent          int
 	runnerSet          fingerprint.Set // as last reported by a heartbeat
 	leaseUntil         time.Time       // as last extended
 }
@@ -389,6 +390,7 @@
 }
 
 func (p *process) Stop(to order.Target, s order.Stop) {
+	p.stopsSent++
 	send(p, to, func(r *simRunner) order.Reply { return r.stop(s) }, 1500*time.Millisecond,
 		func(v order.Reply) { p.cell.StopAnswered(p.world.now, to.ID, s, v) })
 }
