cell: a job of which runs are left here is not refused

Callers saw: two runs of one task of a transient job at the same time, on two cells (TWICE).

Cause: Submit decided on room and load before it looked for runs of the job. A runner with such runs counts as full, so a job that its caller submitted again was mostly refused for want of room, and core/overflow started it in the next cell beside the runs that were still here.

Evidence: TestNoRefusalWithRuns. Before: verdict Refused, reason "room"; after: the caller gets the outcome of the run that was there, and nothing is stopped.

Such a job now counts as one that another holder has had, which is never refused; its runs become those of its tasks. The runs are found without sorting those of runners that have none of the job.

--- a/core/cell/orphan_test.go
+++ b/core/cell/orphan_test.go
@@ -56,6 +56,31 @@
 	require.Equal(t, 2, len(w.runners["r0"].runs)+len(w.runners["r1"].runs), "the job was not started again")
 }
 
+// TestNoRefusalWithRuns guards against a refusal of a job of which runs are left here: the caller
+// would start it in another cell beside them.
+func TestNoRefusalWithRuns(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 1, 32000)
+	w.takeOver()
+	j := newJob(1, true, work.Step{Count: 2, CPU: 14000, Estimate: 1000})
+	w.run(time.Second)
+	w.submit(j)
+	w.run(100 * time.Millisecond)
+	w.callerWaits[j.ID] = false
+	w.holder().kill()
+	p := w.takeOver()
+	w.run(100 * time.Millisecond)
+	require.Len(t, w.runners["r0"].runs, 2)
+	var outcomes []cell.Outcome
+	p.exec(func() {
+		p.cell.Submit(w.now, cell.Submission{Job: *j, Caller: "b", RoomOnly: true}, func(o cell.Outcome) { outcomes = append(outcomes, o) })
+	})
+	w.run(3 * time.Second)
+	require.Equal(t, []cell.Outcome{{Verdict: cell.Accepted, State: work.Succeeded}}, outcomes)
+	require.Zero(t, p.stopsSent)
+	require.Empty(t, w.violations)
+}
+
 // TestFailureCountedOnce guards against counting a failure twice that the previous holder
 // has stored but not acknowledged, so that the runner reports it again.
 func TestFailureCountedOnce(t *testing.T) {
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -42,7 +42,8 @@
 		return
 	}
 	j := newJob(w, now.Add(-time.Duration(submission.AgeMS)*time.Millisecond))
-	j.inherited = submission.Resubmitted
+	// A job with runs here must not be refused: a caller could start it elsewhere.
+	j.inherited = submission.Resubmitted || len(c.unclaimedRuns(w.ID)) > 0
 	if reason, after := c.refusalReason(now, j); reason != "" {
 		c.Metrics.Count("refused_"+reason, 1)
 		c.log("event", "refuse", "job", w.ID, "queue", w.Queue.Name, "reason", reason, "tasks", w.TaskCount(),
@@ -88,25 +89,49 @@
 // and stops those that j does not need. A run that is being stopped is assigned too, so
 // that its task waits for its end.
 func (c *Cell) claimOrphans(now time.Time, j *job) {
-	for _, r := range c.sorted {
-		for _, x := range r.sortedRuns() {
-			if x.task != nil || x.key.task.Job != j.ID {
-				continue
-			}
-			t := j.task(x.key.task)
-			if t == nil || t.run != nil {
-				c.stop(now, x, "not the current run of its task")
-				continue
-			}
+	for _, x := range c.unclaimedRuns(j.ID) {
+		t, r := j.task(x.key.task), x.runner
+		if t == nil || t.run != nil {
+			c.stop(now, x, "not the current run of its task")
+			continue
+		}
+		if x.orphan {
 			x.orphan = false
 			r.orphans--
 			x.resources = requirements(t.spec())
 			r.used = r.used.add(x.resources)
-			x.task, t.run, t.lastRun = t, x, x.key.run
-			c.log("event", "adopt", "runner", r.ID, "job", j.ID, "task", t.index, "run", x.key.run,
-				"stopping", !x.stopSent.IsZero())
+		}
+		x.task, t.run, t.lastRun = t, x, x.key.run
+		c.log("event", "adopt", "runner", r.ID, "job", j.ID, "task", t.index, "run", x.key.run, "stopping", !x.stopSent.IsZero())
+	}
+}
+
+// unclaimedRuns returns the runs of a job that are not the current run of a known task, ordered
+// by runner, task and number.
+func (c *Cell) unclaimedRuns(id string) []*run {
+	var list []*run
+	for _, r := range c.sorted {
+		if !r.hasUnclaimedRun(id) {
+			continue
+		}
+		for _, x := range r.sortedRuns() {
+			if x.task == nil && x.key.task.Job == id {
+				list = append(list, x)
+			}
+		}
+	}
+	return list
+}
+
+// hasUnclaimedRun reports whether r has a run of a job that is not the current run of a known
+// task.
+func (r *runner) hasUnclaimedRun(id string) bool {
+	for key, x := range r.runs {
+		if x.task == nil && key.task.Job == id {
+			return true
 		}
 	}
+	return false
 }
 
 // CallerLeft records that a caller no longer waits for a job, whatever the attempt. A
