cell, proxy: orphaned runs end before their callers may submit the jobs again

Cause: the platform sends a transient job again 1.3 s after its client has lost the connection, to any node, and it may then start from the beginning. A new holder kept the runs that it found for a fixed 0.6 s and then stopped them. Found 0.65 to 0.98 s after the kill, they ended 1.25 to 1.6 s after it. Until the rows were read the holder extended all leases, however long that took.

Ruled out: the instances that outlived the holder as the reason for the long wait.

Now: a run without a job is stopped 0.2 s after it was found, and in any case 0.25 s before its caller may come back. That time counts from when the previous holder last answered a hello message, or from one lease before the runner was first asked, whichever is later: the caller was not lost before.

Evidence: TestOrphansEndBeforeResubmission.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -47,6 +47,9 @@
 	// PreviousEnd is when the previous holder has certainly stopped extending leases; zero
 	// means when the term begins.
 	PreviousEnd time.Time
+	// PreviousAlive is a time at which the previous holder was certainly alive; zero if none is
+	// known.
+	PreviousAlive time.Time
 }
 
 // Cell decides which task runs on which runner. Its exported fields must be set before
--- a/core/cell/hold.go
+++ b/core/cell/hold.go
@@ -15,7 +15,36 @@
 	if r.clock == 0 || r.isSilent(now, c.Settings.SilenceTimeout) || !now.Before(c.leaseUntil) {
 		return 0
 	}
-	return r.estimateClock(now) + (c.Settings.Lease - leaseMargin).Milliseconds()
+	lease := c.Settings.Lease - leaseMargin
+	if r.orphans > 0 || (!c.loaded && r.unclaimed) {
+		lease = min(lease, c.resubmissionTime(r).Add(-c.Settings.StopGrace).Sub(now))
+	}
+	if lease <= 0 {
+		return 0
+	}
+	return r.estimateClock(now) + lease.Milliseconds()
+}
+
+// resubmissionTime returns the earliest time at which a caller may submit the job of a run again,
+// possibly to another cell, that the previous holder has left on r. The caller was lost with that
+// holder, which was alive at Term.PreviousAlive, and not longer than a lease before r was first
+// asked, since the run would have lapsed.
+func (c *Cell) resubmissionTime(r *runner) time.Time {
+	lost := r.firstHold.Add(-c.Settings.longestLease())
+	if c.Term.PreviousAlive.After(lost) {
+		lost = c.Term.PreviousAlive
+	}
+	return lost.Add(c.Settings.ResubmitAfter)
+}
+
+// orphanDeadline returns when the orphaned run x is stopped unless its job is submitted again: in
+// time to end before that happens in another cell.
+func (c *Cell) orphanDeadline(x *run) time.Time {
+	deadline := c.resubmissionTime(x.runner).Add(-c.Settings.StopGrace - orphanStopMargin)
+	if limit := x.startSent.Add(orphanTimeout); limit.Before(deadline) {
+		return limit
+	}
+	return deadline
 }
 
 // sendHold sends a hold, which acknowledges ends and asks for the runs and ends of r. It
@@ -23,6 +52,9 @@
 // runner replies at the first end or after wait.
 func (c *Cell) sendHold(now time.Time, r *runner, wait time.Duration) {
 	c.lastTicket++
+	if r.firstHold.IsZero() {
+		r.firstHold = now
+	}
 	h := order.Hold{Token: r.token, AckedThrough: r.ackable(), Wait: wait}
 	if len(r.runs) > 0 || wait > 0 || !c.loaded {
 		h.Deadline = c.orderDeadline(now, r)
@@ -74,7 +106,8 @@
 		c.releaseLapsed(now, r)
 		return
 	}
-	if r.probeTicket == 0 && len(r.runs) > 0 && time.Duration(r.maxDeadline-r.estimateClock(now))*time.Millisecond < c.Settings.Lease*9/20 {
+	if r.probeTicket == 0 && len(r.runs) > 0 && now.Sub(r.probeSent) > minRenewalInterval &&
+		time.Duration(r.maxDeadline-r.estimateClock(now))*time.Millisecond < c.Settings.Lease*9/20 {
 		c.sendHold(now, r, 0)
 	}
 	if r.pollTicket == 0 && r.unansweredSince.IsZero() && !c.draining && c.canPoll(now, r) {
@@ -89,6 +122,10 @@
 	c.releaseLapsed(now, r)
 }
 
+// minRenewalInterval is the least time between two renewals of a lease that cannot be extended by
+// as much as usual.
+const minRenewalInterval = 40 * time.Millisecond
+
 // retryHold sends another hold to a runner that has not answered an order in time, or
 // whose last hold failed. The time between them doubles up to probeInterval.
 func (c *Cell) retryHold(now time.Time, r *runner) {
@@ -152,7 +189,8 @@
 		return
 	}
 	if !c.loaded {
-		if given.Deadline == 0 {
+		r.unclaimed = slices.ContainsFunc(h.Running, func(a order.ActiveRun) bool { return c.jobs[a.Task.Job] == nil })
+		if given.Deadline == 0 && c.orderDeadline(now, r) != 0 {
 			c.sendHold(now, r, 0) // keeps the runs there alive until the rows show what they are
 		}
 		return
--- a/core/cell/orphan_test.go
+++ b/core/cell/orphan_test.go
@@ -32,6 +32,47 @@
 	require.Empty(t, w.runners["r1"].runs)
 }
 
+// TestOrphansEndBeforeResubmission guards against runs of a transient job that a new holder keeps
+// until a caller that was lost with the previous one submits the job again, to any cell.
+func TestOrphansEndBeforeResubmission(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name            string
+		takeover        time.Duration // after the last heartbeat of the holder
+		load            time.Duration // until the rows are read
+		unreachableFrom time.Duration // from when on the new holder reaches no runner; zero if it does
+	}{
+		{"taken over soon", 640 * time.Millisecond, 0, 0},
+		{"taken over late", 900 * time.Millisecond, 0, 0},
+		{"rows read late", 700 * time.Millisecond, 500 * time.Millisecond, 0},
+		{"rows read very late", 700 * time.Millisecond, 3 * time.Second, 0},
+		{"runners lost before the stop", 700 * time.Millisecond, 0, 60 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(1, 2, 32000)
+			w.takeOver()
+			j := newJob(1, true, work.Step{Count: 2, CPU: 14000, Estimate: 60000})
+			w.run(time.Second)
+			w.submit(j)
+			w.run(time.Second)
+			w.callerWaits[j.ID] = false
+			lost := w.now
+			w.holder().kill()
+			w.loadDelay = test.load
+			w.run(w.holder().aliveAt.Add(test.takeover).Sub(w.now))
+			p := w.takeOver()
+			if test.unreachableFrom > 0 {
+				w.run(test.unreachableFrom)
+				p.unreachableRunners = map[string]bool{"r0": true, "r1": true}
+			}
+			w.run(lost.Add(cell.DefaultResubmitAfter).Sub(w.now))
+			require.Empty(t, w.runners["r0"].runs)
+			require.Empty(t, w.runners["r1"].runs)
+		})
+	}
+}
+
 // TestResubmittedWhileStopped guards against a second run of a transient task beside the first
 // one: the caller submits its job again while the new holder stops the runs that nobody had
 // claimed.
--- a/core/cell/run.go
+++ b/core/cell/run.go
@@ -38,7 +38,7 @@
 // stops orphaned runs whose job nobody has resubmitted.
 func (c *Cell) checkRuns(now time.Time, r *runner) {
 	for _, x := range r.sortedRuns() {
-		if x.task == nil && x.stopSent.IsZero() && now.Sub(x.startSent) > orphanTimeout {
+		if x.task == nil && x.stopSent.IsZero() && !now.Before(c.orphanDeadline(x)) {
 			c.stop(now, x, "not resubmitted in time")
 		}
 		if x.startAnswered.IsZero() && now.Sub(x.startSent) > c.answerTimeout(r) && x.token == r.token && !c.handleNoReply(now, x) {
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -19,7 +19,8 @@
 	minAnswerTimeout  = 25 * time.Millisecond // least time allowed for the reply to an order
 	probeInterval     = 300 * time.Millisecond
 	pollInterval      = 12 * time.Millisecond  // between holds while some ends are not acknowledged
-	orphanTimeout     = 600 * time.Millisecond // time for a caller to resubmit the job of an orphaned run
+	orphanTimeout     = 200 * time.Millisecond // time for an instance to resubmit the job of an orphaned run
+	orphanStopMargin  = 200 * time.Millisecond // for the stop of an orphaned run, beside the time that the runner takes
 	clockDriftDivisor = 40                     // a runner's clock may be slow by 1/clockDriftDivisor
 )
 
@@ -48,6 +49,8 @@
 	used            Resources // resources of the runs
 	plannedMembers  int       // number of members of the gang that is being placed here
 	orphans         int       // number of runs whose resources are not known
+	unclaimed       bool      // it had runs of unknown jobs when it last replied before the rows were loaded
+	firstHold       time.Time // when the first hold was sent
 
 	pollTicket, probeTicket int64 // tickets of the holds in flight, with and without long poll; zero if none
 	pollSent                time.Time
--- a/core/cell/settings.go
+++ b/core/cell/settings.go
@@ -7,6 +7,7 @@
 	DefaultLease          = time.Second
 	DefaultStopGrace      = 50 * time.Millisecond
 	DefaultEndRetention   = 150 * time.Second
+	DefaultResubmitAfter  = 1300 * time.Millisecond
 	DefaultSilenceTimeout = 400 * time.Millisecond
 	DefaultBusyPollWait   = 500 * time.Millisecond
 	DefaultIdlePollWait   = 2 * time.Second
@@ -19,6 +20,7 @@
 	Lease          time.Duration // longest lease that a runner grants
 	StopGrace      time.Duration // time that a runner takes to stop a run
 	EndRetention   time.Duration // time for which the end of a job is kept and reported
+	ResubmitAfter  time.Duration // time after which a caller that got no answer submits a transient job again, possibly to another cell
 	SilenceTimeout time.Duration // time without a reply after which a runner counts as silent
 	BusyPollWait   time.Duration // long-poll time at a runner with runs
 	IdlePollWait   time.Duration // long-poll time at a runner without runs
@@ -35,6 +37,7 @@
 	set(&s.Lease, DefaultLease)
 	set(&s.StopGrace, DefaultStopGrace)
 	set(&s.EndRetention, DefaultEndRetention)
+	set(&s.ResubmitAfter, DefaultResubmitAfter)
 	set(&s.SilenceTimeout, DefaultSilenceTimeout)
 	set(&s.BusyPollWait, DefaultBusyPollWait)
 	set(&s.IdlePollWait, DefaultIdlePollWait)
@@ -54,5 +57,6 @@
 // ApplySettings replaces the settings of c by s. Zero values select the defaults.
 func (c *Cell) ApplySettings(s Settings) {
 	c.Settings = s.withDefaults()
-	c.log("event", "bounds", "lease", c.Settings.Lease, "grace", c.Settings.StopGrace, "keep", c.Settings.EndRetention)
+	c.log("event", "bounds", "lease", c.Settings.Lease, "grace", c.Settings.StopGrace, "keep", c.Settings.EndRetention,
+		"again", c.Settings.ResubmitAfter)
 }
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -29,6 +29,7 @@
 	processes     []*process // of all holders so far; the last one holds the cell
 	violations    []string
 	faults        faults
+	loadDelay     time.Duration // added to the time until a new holder has read the rows
 	resumedFrom   map[work.Task]string // checkpoint that the last run of a task started from
 	openQuestions int                  // number of unanswered questions to the adviser
 
@@ -166,18 +167,18 @@
 	key := "c0/cells/holder"
 	w.store.version++
 	w.store.values[key] = table.Row{Key: key, Version: w.store.version, Value: json.RawMessage(`1`)}
-	previousRunners := fingerprint.Set(0)
+	previousRunners, previousAlive := fingerprint.Set(0), time.Time{}
 	if p.termNumber > 1 {
-		previousRunners = w.holder().runnerSet
+		previousRunners, previousAlive = w.holder().runnerSet, w.holder().aliveAt
 	}
-	p.cell = cell.New(cell.Term{Cell: "c0", HolderKey: "c0/cells/holder", Epoch: w.store.version, TermNumber: p.termNumber, PreviousRunners: previousRunners, PreviousEnd: previousEnd}, cell.Settings{}, w.now)
+	p.cell = cell.New(cell.Term{Cell: "c0", HolderKey: "c0/cells/holder", Epoch: w.store.version, TermNumber: p.termNumber, PreviousRunners: previousRunners, PreviousEnd: previousEnd, PreviousAlive: previousAlive}, cell.Settings{}, w.now)
 	p.epoch = w.store.version
 	p.cell.Orders, p.cell.Store, p.cell.Adviser = p, p, p
 	w.openQuestions = 0
 	p.cell.WallClock = func() int64 { return w.now.UnixMilli() }
 	w.processes = append(w.processes, p)
 	p.exec(func() { p.cell.UpdateDirectory(w.now, w.directory()) })
-	w.after(3*w.jitter(), func() {
+	w.after(3*w.jitter()+w.loadDelay, func() {
 		jobs, progress := w.store.scan("c0/jobs/"), w.store.scan("c0/progress/")
 		w.after(w.jitter(), func() { p.exec(func() { p.cell.LoadJobs(w.now, jobs, progress) }) })
 		ends := w.store.scan("c0/ends/")
@@ -325,6 +326,7 @@
 	stopsSent          int
 	runnerSet          fingerprint.Set // as last reported by a heartbeat
 	leaseUntil         time.Time       // as last extended
+	aliveAt            time.Time       // when its last heartbeat was sent
 }
 
 // exec runs do and a pass of the cell in the goroutine of the holder. It does nothing
@@ -361,7 +363,7 @@
 	sent := p.world.now
 	p.exec(func() {
 		if !p.storeUnreachable && !p.world.store.down && p.world.store.values["c0/cells/holder"].Version == p.epoch {
-			p.leaseUntil = sent.Add(simHolderLease)
+			p.leaseUntil, p.aliveAt = sent.Add(simHolderLease), sent
 			p.cell.ExtendLease(p.leaseUntil)
 			p.runnerSet = p.cell.RunnerSet(p.world.now)
 			p.cell.Reported(p.runnerSet)
--- a/core/election/member.go
+++ b/core/election/member.go
@@ -56,6 +56,9 @@
 	// PreviousEnd is when the lease of the previous holder will certainly have expired; zero if
 	// it has by now. A holder that has handed the cell over may not know it and go on.
 	PreviousEnd time.Time
+	// PreviousAlive is a time at which the previous holder was certainly alive; zero if none is
+	// known.
+	PreviousAlive time.Time
 }
 
 // Key returns the key of a row of a cell; row is one of the names below, or empty for
--- a/core/eventloop/loop.go
+++ b/core/eventloop/loop.go
@@ -89,7 +89,7 @@
 		Term: t, Runners: r, Store: st, Clock: clock,
 		messages: make(chan cell.Message, messageQueueSize), done: make(chan struct{}), overload: overload.Detector{StartedAt: clock.Now()},
 	}
-	l.cell = cell.New(cell.Term{Cell: name, HolderKey: election.Key(name, election.HolderRow), Epoch: t.Epoch, TermNumber: t.Number, PreviousRunners: t.PreviousRunners, PreviousEnd: t.PreviousEnd}, s, clock.Now())
+	l.cell = cell.New(cell.Term{Cell: name, HolderKey: election.Key(name, election.HolderRow), Epoch: t.Epoch, TermNumber: t.Number, PreviousRunners: t.PreviousRunners, PreviousEnd: t.PreviousEnd, PreviousAlive: t.PreviousAlive}, s, clock.Now())
 	l.cell.Log, l.cell.Metrics = logger, metrics
 	l.cell.Orders, l.cell.Store = orderSender{l}, writeSender{l}
 	l.cell.WallClock = (&wallclock.Clock{Monotonic: clock.Now, Wall: time.Now}).Now
--- a/core/proxy/hello.go
+++ b/core/proxy/hello.go
@@ -80,6 +80,7 @@
 	late := time.AfterFunc(helloPatience, p.Elector.Refresh)
 	defer late.Stop()
 	var reply promise.HelloReply
+	sent := p.Clock.Now()
 	if p.Client.Call(limited, h.Addr, p.method(methodHello), hello, &reply) != nil || !reply.Leading {
 		p.Elector.Refresh()
 		return
@@ -89,6 +90,7 @@
 	p.Elector.Promise(func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
+		p.holderAlive = sent
 		p.granted.RecordReply(p.Clock.Now(), reply)
 	})
 }
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -76,6 +76,7 @@
 	received    promise.Received // promises of the other instances to this one
 	granted     promise.Granted  // promises of this instance to the holder
 	exchanging  bool             // this instance exchanges hello messages with the holder
+	holderAlive time.Time        // when the latest hello message was sent that a holder has answered
 	reach       reach
 }
 
@@ -214,8 +215,12 @@
 	p.running.Wait()
 }
 
-// BeginTerm runs the cell for a new term in a goroutine.
+// BeginTerm runs the cell for a new term in a goroutine. The previous holder was alive when it
+// last answered a hello message of this instance.
 func (p *Proxy) BeginTerm(t election.Term) {
+	p.mu.Lock()
+	t.PreviousAlive = p.holderAlive
+	p.mu.Unlock()
 	l := p.NewLoop(t)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -67,6 +67,7 @@
 		h.mu.Unlock()
 		return h.answer(ctx, submission)
 	})
+	peer.Handle(s, "cell.hello/c0", answerHello)
 	peer.Handle(s, "cell.leave/c0", func(context.Context, struct{}) (struct{}, error) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
