cell, proxy: a cancellation is acknowledged only once the job has ended

Cause: two answers that say "not known" were taken for sure, after which the proxy found the row of the job and returned 200, though nobody had ended it. (a) A holder that has not read its rows yet answered so for every job. Cancellations that found no holder are sent as soon as there is one, so they arrive in just that time. (b) A term that ended answered the cancellations that waited for the store with (Unknown, not stored); the proxy looked at the state before it looked at stored. Beside them: (c) a job that was submitted again before the rows were read, and cancelled then, was not ended once its row was read, nor after a conflict that showed an earlier insert.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -79,7 +79,8 @@
 	adviceInFlight bool      // a request to the adviser is in flight
 	nextAdvice     time.Time // earliest time of the next request
 
-	loaded           bool      // the rows have been read
+	loaded           bool // the rows have been read
+	pendingCancels   []pendingCancel
 	takenOver        bool      // no unaccounted run of a previous holder can be left
 	previousKnown    bool      // the previous holder has said on which runners it may have runs
 	takeoverDeadline time.Time // when all leases of previous holders have expired
@@ -154,6 +155,10 @@
 		j.answerCancels(work.Unknown, false)
 		j.answerQueries(work.Unknown)
 	}
+	for _, p := range c.pendingCancels {
+		p.reply(work.Unknown, false)
+	}
+	c.pendingCancels = nil
 }
 
 // Drain stops sending start orders, so that none is in flight when the next holder takes
--- a/core/cell/orphan_test.go
+++ b/core/cell/orphan_test.go
@@ -258,6 +258,58 @@
 	}
 }
 
+// TestCancelBeforeRowsAreRead guards against an acknowledged cancellation that nobody carries out:
+// it reaches a new holder that does not know its jobs yet, or that has received the job again.
+func TestCancelBeforeRowsAreRead(t *testing.T) {
+	t.Parallel()
+	for _, resubmitted := range []bool{false, true} {
+		w := newWorld(1, 2, 32000)
+		w.takeOver()
+		w.run(time.Second)
+		j := newJob(1, false, work.Step{Count: 2, CPU: 14000, Estimate: 60000})
+		w.submit(j)
+		w.run(time.Second)
+		w.holder().kill()
+		w.loadDelay = 100 * time.Millisecond
+		p := w.takeOver()
+		if resubmitted {
+			w.submitOnce(j, true, 1)
+		}
+		var states []work.State
+		p.exec(func() {
+			p.cell.Cancel(w.now, j.ID, func(s work.State, stored bool) {
+				require.True(t, stored)
+				states = append(states, s)
+			})
+		})
+		w.run(90 * time.Millisecond)
+		require.Empty(t, states, "answered before the rows were read")
+		w.run(time.Second)
+		require.Equal(t, []work.State{work.Cancelled}, states)
+		require.Equal(t, work.Cancelled, w.store.state(j.ID))
+		require.Empty(t, w.runners["r0"].runs)
+		require.Empty(t, w.runners["r1"].runs)
+	}
+}
+
+// TestCancelAtTheEndOfATerm checks that a cancellation that waits for the rows is answered as
+// open when the term ends.
+func TestCancelAtTheEndOfATerm(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 1, 32000)
+	w.loadDelay = time.Second
+	p := w.takeOver()
+	var answers []bool
+	p.exec(func() {
+		p.cell.Cancel(w.now, "j", func(s work.State, stored bool) {
+			require.Equal(t, work.Unknown, s)
+			answers = append(answers, stored)
+		})
+		p.cell.Depose(w.now, "test")
+	})
+	require.Equal(t, []bool{false}, answers)
+}
+
 // TestLease guards against tasks that run twice when a holder is cut off from the store and
 // the next holder reaches only a new runner: the runs of the previous holder must have
 // lapsed before the next one starts their tasks, and it must start nothing more.
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -33,10 +33,17 @@
 		j := c.jobs[id]
 		j.updateReady()
 		c.addReady(j)
-		if j.complete() {
+		switch {
+		case j.complete():
 			c.finish(now, j, work.Succeeded)
+		case j.row.stored && len(j.cancels) > 0: // received with the job, before its row was read
+			c.finish(now, j, work.Cancelled)
 		}
 	}
+	for _, p := range c.pendingCancels {
+		c.Cancel(now, p.id, p.reply)
+	}
+	c.pendingCancels = nil
 	c.log("event", "loaded", "jobs", len(c.jobs), "progress", len(progress), "round", c.Term.TermNumber)
 	for _, r := range c.sorted {
 		c.fence(now, r)
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -168,6 +168,15 @@
 	}
 }
 
+// acceptStored accepts a job whose row has been stored, and ends it if it was cancelled
+// meanwhile.
+func (c *Cell) acceptStored(now time.Time, j *job) {
+	c.accept(now, j)
+	if len(j.cancels) > 0 {
+		c.finish(now, j, work.Cancelled)
+	}
+}
+
 // accept makes the tasks of a job available to start. The row of the job is stored, or
 // the job is transient.
 func (c *Cell) accept(now time.Time, j *job) {
@@ -226,17 +235,38 @@
 	return n
 }
 
+// pendingCancel is a cancellation of a job that the cell does not know, received before its rows
+// were read.
+type pendingCancel struct {
+	id    string
+	reply func(state work.State, stored bool)
+}
+
+// maxPendingCancels is the maximum number of cancellations that wait for the rows.
+const maxPendingCancels = 4096
+
 // Cancel cancels a job. It calls reply once with the final state of the job and whether
 // that state is stored. The state differs from Cancelled if the job ended otherwise
-// before, and is Unknown if the cell does not know the job.
+// before. It is Unknown and stored if the cell knows all jobs that are stored and this one is
+// not among them, and Unknown and not stored if the outcome is open.
 func (c *Cell) Cancel(now time.Time, id string, reply func(state work.State, stored bool)) {
 	if end, ok := c.endedJobs.jobs[id]; ok {
 		reply(end.state, true)
 		return
 	}
 	j := c.jobs[id]
-	if j == nil || c.deposed {
-		reply(work.Unknown, !c.deposed)
+	switch {
+	case c.deposed:
+		reply(work.Unknown, false)
+		return
+	case j == nil && c.loaded:
+		reply(work.Unknown, true)
+		return
+	case j == nil && len(c.pendingCancels) >= maxPendingCancels:
+		reply(work.Unknown, false)
+		return
+	case j == nil:
+		c.pendingCancels = append(c.pendingCancels, pendingCancel{id, reply})
 		return
 	}
 	j.cancels = append(j.cancels, reply)
--- a/core/cell/transaction.go
+++ b/core/cell/transaction.go
@@ -154,10 +154,7 @@
 		c.closeJob(now, j, version)
 	case !j.row.stored:
 		j.row.jobVersion = version
-		c.accept(now, j)
-		if len(j.cancels) > 0 {
-			c.finish(now, j, work.Cancelled)
-		}
+		c.acceptStored(now, j)
 	default:
 		j.row.progressVersion = version
 	}
@@ -203,7 +200,7 @@
 	if r, ok := conflicts[c.Key(TableJobs, j.ID)]; ok {
 		j.row.jobVersion = r.Version
 		if !j.row.stored && r.Version != 0 {
-			c.accept(now, j)
+			c.acceptStored(now, j)
 		}
 	}
 	if r, ok := conflicts[c.Key(TableProgress, j.ID)]; ok {
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -29,7 +29,7 @@
 	processes     []*process // of all holders so far; the last one holds the cell
 	violations    []string
 	faults        faults
-	loadDelay     time.Duration // added to the time until a new holder has read the rows
+	loadDelay     time.Duration        // added to the time until a new holder has read the rows
 	resumedFrom   map[work.Task]string // checkpoint that the last run of a task started from
 	openQuestions int                  // number of unanswered questions to the adviser
 
--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -45,6 +45,8 @@
 	answer func(ctx context.Context, s cell.Submission) (reply, error)
 	stop   func()
 
+	cancelled func() eventloop.Cancelled // reply to a cancellation
+
 	mu   sync.Mutex
 	seen []cell.Submission
 	left int // notices that a caller no longer waits
@@ -68,6 +70,7 @@
 		return h.answer(ctx, submission)
 	})
 	peer.Handle(s, "cell.hello/c0", answerHello)
+	peer.Handle(s, "cell.cancel/c0", func(context.Context, struct{}) (eventloop.Cancelled, error) { return h.cancelled(), nil })
 	peer.Handle(s, "cell.leave/c0", func(context.Context, struct{}) (struct{}, error) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
