cell, eventloop: no count of pending jobs before the rows are read

Callers could see: a number of pending jobs far below the true one, just after a change of the holder (MIXED). Found on the path of the fault with cancels: a holder that has not read its rows answered this question too as if it knew all its jobs. Not seen by a caller yet.

--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -224,15 +224,14 @@
 }
 
 // PendingJobs returns the number of accepted jobs of a queue that have not started any
-// task.
-func (c *Cell) PendingJobs(queue string) int {
-	n := 0
+// task. Known is false before the rows of the jobs have been read.
+func (c *Cell) PendingJobs(queue string) (n int, known bool) {
 	for _, j := range c.jobs {
 		if j.Queue.Name == queue && j.row.stored && !j.state.Ended() && !j.hasStarted() {
 			n++
 		}
 	}
-	return n
+	return n, c.loaded
 }
 
 // pendingCancel is a cancellation of a job that the cell does not know, received before its rows
