--- a/gypsumward/hosted/directory.go
+++ b/gypsumward/hosted/directory.go
@@ -37,19 +37,26 @@
 	log     log.Logger
 	entries atomic.Pointer[[]cell.RunnerInfo] // nil before the first read
 	reads   atomic.Int64                      // number of reads
+	bad     map[string]int64                  // versions of the rows that cannot be decoded, by key
 }
 
-// apply replaces the runners by those in rows. A row that cannot be decoded names none.
+// apply replaces the runners by those in rows. A row that cannot be decoded names none and is
+// logged once for each of its versions.
 func (d *directory) apply(rows []table.Row, _ bool) {
 	list := make([]cell.RunnerInfo, 0, len(rows))
+	bad := map[string]int64{}
 	for _, r := range rows {
 		entry, err := platform.DecodeRunner(r)
-		if err != nil {
-			_ = d.log.Log("event", "badrow", "key", r.Key, "err", err)
+		if err == nil {
+			list = append(list, entry)
 			continue
 		}
-		list = append(list, entry)
+		bad[r.Key] = r.Version
+		if d.bad[r.Key] != r.Version {
+			_ = d.log.Log("event", "badrow", "key", r.Key, "version", r.Version, "err", err)
+		}
 	}
+	d.bad = bad
 	d.entries.Store(&list)
 	d.reads.Add(1)
 }
