stall, platform, peer: submissions that waited in a paused process have their age

Cause: an instance that is frozen for longer than its clients wait reads their submissions when it goes on, as if they had just been sent, and passes them on before it sees that the connections are closed. The clients have sent the jobs again elsewhere meanwhile. Timers of a job that was on its way do not count a suspension either, so it was submitted again, or to the next cell.

core/stall notices pauses of half the time after which the platform sends a job again. Messages read within 0.5 s after one count as sent when it began, for clients and between instances; what nobody waits for any more is refused as not run, with a time to come back. A submission on its way ends by a clock that counts pauses. A log line for each pause and refusal.

--- a/core/overflow/submitter.go
+++ b/core/overflow/submitter.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gypsumward/core/cell"
+	"gypsumward/core/monotonic"
 	"gypsumward/core/work"
 )
 
@@ -39,6 +40,8 @@
 // submit again.
 func (s *Submitter) Submit(ctx context.Context, j work.Job, cells []Cell) cell.Outcome {
 	arrived := s.Clock.Now()
+	deadline := monotonic.DeadlineOf(ctx, arrived)
+	over := func() bool { return ctx.Err() != nil || deadline.Passed(s.Clock.Now()) }
 	reachable, unreachable := byReach(cells)
 	ordered := slices.Concat(reachable, unreachable)
 	ordered = ordered[:min(len(ordered), MaxCells)]
@@ -53,7 +56,7 @@
 			continue
 		}
 		o := c.Submit(ctx, j, arrived, true)
-		if o.Verdict != cell.Refused || ctx.Err() != nil {
+		if o.Verdict != cell.Refused || over() {
 			return o
 		}
 		if o.Reason == cell.ReasonNoRoom {
@@ -70,7 +73,7 @@
 			return o
 		}
 		refusals = append(refusals, o)
-		if ctx.Err() != nil {
+		if over() {
 			break
 		}
 		s.OnHandedOver(j, o)
--- a/core/overflow/submitter_test.go
+++ b/core/overflow/submitter_test.go
@@ -134,6 +134,20 @@
 	require.Equal(t, done, o)
 }
 
+// TestPausedBetweenCells guards against a job that is submitted to the next cell after a pause of the
+// process, when its caller may have submitted it elsewhere.
+func TestPausedBetweenCells(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for _, first := range []*fakeCell{{outcome: full, takes: 2 * time.Minute}, {full: true, outcome: full, takes: 2 * time.Minute}} {
+		second := &fakeCell{outcome: done}
+		o, _ := submit(ctx, &clock{now: time.Unix(100, 0)}, first, second)
+		require.Equal(t, cell.Refused, o.Verdict)
+		require.Empty(t, second.arrived)
+	}
+}
+
 // TestCallerGone ends the context during the first refusal.
 func TestCallerGone(t *testing.T) {
 	t.Parallel()
--- a/core/peer/fault.go
+++ b/core/peer/fault.go
@@ -15,6 +15,7 @@
 	CodeStopping int64 = -32002 // the peer is shutting down
 	CodeFailed   int64 = -32003 // the handler failed
 	CodeTooLong  int64 = -32004 // the result exceeds the size limit
+	CodeExpired  int64 = -32005 // the caller has stopped waiting before the call was read
 )
 
 // ErrTooLong is the error of a message that exceeds the size limit.
--- a/core/peer/server.go
+++ b/core/peer/server.go
@@ -40,6 +40,10 @@
 	// they are not.
 	CallerTimeout time.Duration
 
+	// Delay returns the longest time for which a message that is read now may have waited unread.
+	// It is taken from the time left to the caller; a call without any is refused. It may be nil.
+	Delay func() time.Duration
+
 	// OnCall is called with the method of each call that was handled and the lengths of its
 	// parameters and its result. It must not block and may be nil.
 	OnCall func(method string, params, result int)
@@ -298,14 +302,21 @@
 
 // serveCall runs the handler of an admitted call and sends the response.
 func (s *Server) serveCall(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, m meta) {
+	expired := false
 	if m.Timeout > 0 {
+		left := m.Timeout.Duration() - s.delay()
+		expired = left <= 0
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, m.Timeout.Duration())
+		ctx, cancel = context.WithTimeout(ctx, left)
 		defer cancel()
 	}
 	res := &jsonrpc2.Response{ID: req.ID}
 	var result any
-	if req.Method != methodPing {
+	switch {
+	case req.Method == methodPing:
+	case expired:
+		res.Error = newError(CodeExpired, "the caller's time is over", errorData{Ran: api.RanNot})
+	default:
 		params := json.RawMessage("null")
 		if req.Params != nil {
 			params = *req.Params
@@ -319,6 +330,14 @@
 	s.reply(ctx, conn, res)
 }
 
+// delay returns the longest time for which a message that is read now may have waited unread.
+func (s *Server) delay() time.Duration {
+	if s.Delay == nil {
+		return 0
+	}
+	return s.Delay()
+}
+
 // countCall passes a call that was handled to OnCall.
 func (s *Server) countCall(method string, params int, res *jsonrpc2.Response) {
 	if s.OnCall == nil {
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -374,7 +374,7 @@
 // isBusy reports whether err is the reply of a holder that takes no further calls for now.
 func isBusy(err error) bool {
 	var fault *peer.Fault
-	return errors.As(err, &fault) && (fault.Code == peer.CodeBusy || (fault.Code == peer.CodeFailed && fault.Text != notHolderText))
+	return errors.As(err, &fault) && (fault.Code == peer.CodeBusy || fault.Code == peer.CodeExpired || (fault.Code == peer.CodeFailed && fault.Text != notHolderText))
 }
 
 // callHolderRetrying repeats callHolder until it succeeds. It gives up after
--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -262,6 +262,39 @@
 	}, time.Second, 5*time.Millisecond, "the holder is notified that the caller has left")
 }
 
+// pausedClock is a clock that also counts pauses.
+type pausedClock struct {
+	mu     sync.Mutex
+	paused time.Duration
+}
+
+func (c *pausedClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Add(c.paused)
+}
+
+// TestPausedSubmission guards against a job that is submitted again after a pause of the process:
+// its caller has given up meanwhile and may have submitted it elsewhere.
+func TestPausedSubmission(t *testing.T) {
+	t.Parallel()
+	c := newCaller(t)
+	clock := &pausedClock{}
+	c.Clock = clock
+	h := startHolder(t, func(context.Context, cell.Submission) (reply, error) {
+		clock.mu.Lock()
+		defer clock.mu.Unlock()
+		clock.paused = 4 * time.Second
+		return reply{Verdict: cell.OutcomeUnknown}, nil
+	})
+	c.follow(h.addr)
+	ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+	defer cancel()
+	o := c.Submit(ctx, newJob(400), clock.Now(), false)
+	require.Equal(t, cell.OutcomeUnknown, o.Verdict)
+	require.Equal(t, 1, len(h.submissions()))
+}
+
 // TestOpenAccepted is as TestOpen, but the next holder runs the job.
 func TestOpenAccepted(t *testing.T) {
 	t.Parallel()
--- a/core/proxy/submit.go
+++ b/core/proxy/submit.go
@@ -8,6 +8,7 @@
 	"gypsumward/core/cell"
 	"gypsumward/core/election"
 	"gypsumward/core/eventloop"
+	"gypsumward/core/monotonic"
 	"gypsumward/core/work"
 )
 
@@ -33,6 +34,7 @@
 	submission := cell.Submission{Job: j}
 	caller := p.Self.Incarnation + "/" + strconv.FormatInt(p.submissions.Add(1), 10)
 	limit := arrived.Add(searchTime(&j))
+	deadline := monotonic.DeadlineOf(ctx, p.Clock.Now())
 	var err error
 	for attempt := 1; ; attempt++ {
 		var o cell.Outcome
@@ -46,7 +48,7 @@
 		}
 		submission.Resubmitted = submission.Resubmitted || maybeHandled || (err == nil && o.Verdict == cell.OutcomeUnknown)
 		p.Elector.Refresh()
-		if ctx.Err() != nil || (!submission.Resubmitted && p.Clock.Now().After(limit)) {
+		if ctx.Err() != nil || deadline.Passed(p.Clock.Now()) || (!submission.Resubmitted && p.Clock.Now().After(limit)) {
 			break
 		}
 		p.awaitRetry(ctx)
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -32,6 +32,7 @@
 	"gypsumward/core/route"
 	"gypsumward/core/shard"
 	"gypsumward/core/sockopt"
+	"gypsumward/core/stall"
 	"gypsumward/core/table"
 	"gypsumward/gypsumward/reload"
 	"gypsumward/platform"
@@ -80,6 +81,7 @@
 	adviser      *platform.Adviser
 	client       *peer.Client
 	board        *notice.Board
+	stalls       *stall.Detector
 	roster       *roster.Roster
 	readMembers  chan struct{} // requests an immediate read of the members
 	wake         chan struct{} // makes supervise look at the cells
@@ -108,6 +110,7 @@
 	h.client = &peer.Client{
 		Clock: &hlc.Clock{}, MaxCalls: maxPeerCalls, PingInterval: peerHeartbeat, DialBackoff: 20 * time.Millisecond, Dial: dial,
 	}
+	h.stalls = &stall.Detector{Clock: h.clock, Log: h.log, Least: s.Retransmit / 2}
 	h.wake, h.readMembers = make(chan struct{}, 1), make(chan struct{}, 1)
 	h.board = &notice.Board{Store: h.store, Wait: noticeWait, Log: h.log, OnNotice: h.applyNotice, OnError: h.readFailed("notices")}
 	h.roster = &roster.Roster{Store: h.store, Self: h.self, Clock: h.clock, Log: h.log, Interval: h.membersInterval, Refresh: h.readMembers}
@@ -159,6 +162,7 @@
 	defer wg.Wait()
 	defer cancel()
 	wg.Go(func() { h.ring.Run(ctx) })
+	wg.Go(func() { h.stalls.Run(ctx) })
 	settings := h.settings.Current()
 	_ = h.log.Log("event", "start", "node", settings.Node, "zone", settings.Zone, "front", settings.FrontAddr,
 		"life", h.self.Incarnation)
@@ -190,7 +194,7 @@
 	readyServer := khttp.NewServer(khttp.Address(settings.ReadyAddr), khttp.Timeout(0))
 	readyServer.HandlePrefix("/", http.HandlerFunc(h.serveReady))
 	ingressServer := khttp.NewServer(khttp.Address(settings.FrontAddr), khttp.Timeout(0))
-	ingressServer.HandlePrefix("/", &platform.Ingress{Jobs: jobService{h}, Configs: &h.configs, Draining: h.draining.Load})
+	ingressServer.HandlePrefix("/", &platform.Ingress{Jobs: jobService{h}, Configs: &h.configs, Draining: h.draining.Load, Delay: h.stalls.Delay})
 	ingressServer.ReadHeaderTimeout = 5 * time.Second
 	ingressServer.IdleTimeout = time.Minute
 	metricsServer := khttp.NewServer(khttp.Address(net.JoinHostPort(settings.IP, metricsPort)), khttp.Timeout(0))
@@ -215,7 +219,7 @@
 	h.plan.Store(&plan)
 	peers := &peer.Server{
 		Addr: h.self.Addr, Clock: h.client.Clock, MaxCalls: maxPeerCalls, DrainTimeout: 100 * time.Millisecond, CallerTimeout: h.callerTimeout(),
-		OnPanic: h.panicked, OnCall: h.countPeerCall,
+		Delay: h.stalls.Delay, OnPanic: h.panicked, OnCall: h.countPeerCall,
 	}
 	var participants []*participant
 	for i := range plan.Cells {
--- a/gypsumward/hosted/jobservice.go
+++ b/gypsumward/hosted/jobservice.go
@@ -30,9 +30,22 @@
 	return participants[s.h.plan.Load().HomeOf(id)].proxy
 }
 
+// reasonExpired is the reason of the refusal of a job whose client has stopped waiting before the
+// submission was read. It may have submitted the job again elsewhere.
+const reasonExpired = "expired"
+
+// expiredRetryAfter is the time after which a client may submit such a job again here.
+const expiredRetryAfter = time.Second
+
 // Submit submits a job: one that is stored to the cell to which it belongs, any other to
-// the cells of this data centre first. It refuses the job if the plan is not known yet.
+// the cells of this data centre first. It refuses the job if the plan is not known yet, or if
+// ctx has ended.
 func (s jobService) Submit(ctx context.Context, j work.Job) cell.Outcome {
+	if ctx.Err() != nil {
+		s.h.metrics.Count("refused_"+reasonExpired, 1)
+		_ = s.h.log.Log("event", "refuse", "job", j.ID, "queue", j.Queue.Name, "reason", reasonExpired, "delay", s.h.stalls.Delay())
+		return cell.Outcome{Verdict: cell.Refused, Reason: reasonExpired, RetryAfter: expiredRetryAfter}
+	}
 	p := s.proxyOf(j.ID)
 	if p == nil {
 		return cell.Outcome{Verdict: cell.Refused, Reason: proxy.ReasonNoHolder, RetryAfter: planRetryAfter}
