cell, order, platform: a run on a full page of ends is not gone

Cause: a runner lists 500 ends at a time, and forgets none before it is acknowledged, which needs the store. A run that ends after that is neither among the runs nor among the ends of a reply, and the holder took it for one that had ended with its effects known ("vanished"), and started its task again. A new holder did the same with tasks of which it knew no run.

What a reply can say: a list of ends shorter than a page is whole, and a run on neither list is gone. A full one says nothing of the runs that it does not list.

Now a reply says whether its ends may be truncated. Then no run is released, so its capacity stays taken and starting ends by itself once a runner's room is used up by ends that cannot be stored; and a new holder counts the runner as known only after a whole reply, so inherited tasks wait until its ends have been stored page by page, or its leases have lapsed.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -282,7 +282,8 @@
 
 // completeTakeover allows the tasks of inherited jobs to start once no unaccounted run
 // of a previous holder can be left: all runners on which it may have runs are known and have
-// answered under a token of this holder, or the leases have expired.
+// answered under a token of this holder, or the leases have expired. A runner with more ends than
+// it can list is waited for in any case, since its leases go on.
 func (c *Cell) completeTakeover(now time.Time) {
 	if c.takenOver || !c.loaded {
 		return
@@ -295,6 +296,9 @@
 		} else if r.isListed(now) || r.handedOver {
 			allSynced = false
 		}
+		if r.endsTruncated && !r.synced && (r.isListed(now) || r.handedOver || len(r.runs) > 0) && !r.isSilent(now, c.Settings.longestLease()) {
+			return
+		}
 	}
 	known := c.previousKnown || (c.Term.PreviousRunners != 0 && c.Term.PreviousRunners == c.directorySet())
 	if now.Before(c.takeoverDeadline) && (!known || !allSynced || synced == 0) {
--- a/core/cell/hold.go
+++ b/core/cell/hold.go
@@ -204,10 +204,14 @@
 	if c.processEnds(now, r, h.Ends) && isProbe {
 		r.pollTicket = 0 // the reply to the poll in flight, which these ends caused, was lost
 	}
+	r.endsTruncated = h.EndsTruncated
 	if !r.fenced {
-		c.syncRuns(now, r, h.Running)
+		c.syncRuns(now, r, h)
 	} else {
 		c.recordProgress(now, r, h.Running)
+	}
+	if !h.EndsTruncated {
+		r.synced = true
 		c.releaseMissing(now, r, h.Running, sent)
 	}
 	c.moveSlowRuns(now, r)
@@ -225,21 +229,22 @@
 }
 
 // syncRuns replaces the known runs of r by the reported ones, after all orders under
-// earlier tokens have become void.
-func (c *Cell) syncRuns(now time.Time, r *runner, active []order.ActiveRun) {
-	r.fenced, r.synced = true, true
+// earlier tokens have become void. If the ends in the reply h are truncated, the others are
+// kept: they may have ended.
+func (c *Cell) syncRuns(now time.Time, r *runner, h order.HoldReply) {
+	r.fenced = true
 	reported := map[runKey]bool{}
-	for _, a := range active {
+	for _, a := range h.Running {
 		reported[runKey{a.Task, a.Run}] = true
 	}
 	for _, x := range r.sortedRuns() {
-		if key := x.key; !reported[key] {
+		if key := x.key; !reported[key] && !h.EndsTruncated {
 			c.log("event", "vanished", "runner", r.ID, "job", key.task.Job, "task", key.task.Index, "run", key.run,
 				"answered", !x.startAnswered.IsZero())
 			c.release(x)
 		}
 	}
-	c.recordProgress(now, r, active)
+	c.recordProgress(now, r, h.Running)
 	for _, x := range r.sortedRuns() {
 		x.token = r.token
 		if x.startAnswered.IsZero() {
@@ -274,8 +279,8 @@
 	}
 }
 
-// releaseMissing releases the runs that a reply lacks although its hold was sent after
-// they were known to run. Their ends have been acknowledged, or the reply that showed them
+// releaseMissing releases the runs that a reply with all ends lacks although its hold was sent
+// after they were known to run. Their ends have been acknowledged, or the reply that showed them
 // was overtaken by the one with their end.
 func (c *Cell) releaseMissing(now time.Time, r *runner, active []order.ActiveRun, sent time.Time) {
 	for _, x := range r.sortedRuns() {
--- a/core/cell/property_test.go
+++ b/core/cell/property_test.go
@@ -14,6 +14,7 @@
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(4, 8).Draw(t, "runners"), 32000)
+		w.endsPerReply = rapid.SampledFrom([]int{2, 10, 500}).Draw(t, "ends")
 		w.takeOver()
 		load(w, rapid.IntRange(10, 80).Draw(t, "jobs"), 6*time.Second)
 		for range rapid.IntRange(1, 4).Draw(t, "faults") {
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -36,7 +36,8 @@
 	tokensIssued    int64     // number of tokens used so far
 	token           int64
 	fenced          bool           // it has answered under the current token
-	synced          bool           // it has answered under a token of this holder, so orders of previous holders are void
+	synced          bool           // it has listed all runs and ends under a token of this holder, so orders of previous holders are void
+	endsTruncated   bool           // its last reply may lack ends
 	clock           int64          // latest reading; zero if not known
 	clockAt         time.Time      // when clock was read, with the latest reply
 	unansweredSince time.Time      // when the oldest unanswered order was sent; zero if all are answered
@@ -202,7 +203,7 @@
 	r.incarnation = h.Incarnation
 	r.clock, r.maxDeadline, r.acked, r.ackBaseKnown = h.Clock, 0, 0, false
 	r.clockAt = now
-	r.unackedEnds, r.ended = map[int64]bool{}, endedRuns{}
+	r.unackedEnds, r.ended, r.endsTruncated = map[int64]bool{}, endedRuns{}, false
 	r.confirmedHold, r.lastStoredStart = time.Time{}, time.Time{}
 	r.health = health{}
 	c.fence(now, r)
--- a/core/cell/runner_world_test.go
+++ b/core/cell/runner_world_test.go
@@ -411,6 +411,8 @@
 		}
 		h.Running = append(h.Running, order.ActiveRun{Task: t, Run: x.number, Percent: percent, Checkpoint: r.saveCheckpoint(t, x)})
 	}
-	h.Ends = append(h.Ends, r.unackedEnds...)
+	listed := min(len(r.unackedEnds), r.world.endsPerReply)
+	h.Ends = append(h.Ends, r.unackedEnds[:listed]...)
+	h.EndsTruncated = listed == r.world.endsPerReply
 	return h
 }
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -29,6 +29,7 @@
 	processes     []*process // of all holders so far; the last one holds the cell
 	violations    []string
 	faults        faults
+	endsPerReply  int                  // largest number of ends that a runner lists in a reply
 	loadDelay     time.Duration        // added to the time until a new holder has read the rows
 	resumedFrom   map[work.Task]string // checkpoint that the last run of a task started from
 	openQuestions int                  // number of unanswered questions to the adviser
@@ -87,7 +88,7 @@
 		finished:  map[work.Task]bool{},
 		submitted: map[string]*work.Job{}, ackedFinished: map[string]bool{}, ackedFailures: map[work.Task]map[int]bool{}, endCounts: map[order.EndReason]int{}, resumedFrom: map[work.Task]string{},
 		outcomes: map[string]cell.Outcome{}, callerWaits: map[string]bool{}, realTimes: map[string]float64{},
-		faults: faults{delay: 2 * time.Millisecond},
+		faults: faults{delay: 2 * time.Millisecond}, endsPerReply: 500,
 	}
 	for i := range runners {
 		id := fmt.Sprintf("r%d", i)
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -107,7 +107,11 @@
 	Clock       int64 // time on the clock of the runner
 	Incarnation int64 // incarnation of the runner; greater for later ones
 	Running     []ActiveRun
-	Ends        []EndedRun // ends that the runner has not forgotten
+	Ends        []EndedRun // ends that the runner has not forgotten, from the first on
+
+	// EndsTruncated means that Ends is as long as a reply can list, so that there may be more. A
+	// run that neither Running nor Ends lists may then have ended.
+	EndsTruncated bool
 }
 
 // Advice is the reply of the adviser. It holds a ticket for each runner that may run the
