cell: ends are acknowledged while tasks are started

Cause: an acknowledgement meant for one incarnation of a runner makes the next one, which numbers its ends anew, forget ends that the holder has not seen. So the holder acknowledged nothing while a run had been started after the latest hold that was answered; under steady starts there always is one.

The answer to a start carries the runner's clock, which starts anew with each incarnation. If it cannot have reached the latest reading yet, the answer is one of the same incarnation, and the start is no reason to wait. Orders in flight or sent twice still are.

TestAcknowledgementsAtRestarts fails if the clock is not compared ("TWICE { 0 0 32} was done").

--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -280,13 +280,14 @@
 		c.handleNotAccepted(now, r, x, given.Token, v.Verdict)
 		return
 	}
+	x.confirm(now, v.Clock)
 	r.recordAnswer(now, max(v.Clock, r.clock))
 	if x == nil {
 		return
 	}
 	if v.Verdict == order.Done {
 		x.startAnswered = now
-		if x.task != nil && !x.task.job.Transient {
+		if x.task != nil && !x.task.job.Transient && !x.confirmed {
 			r.lastStoredStart = now
 		}
 		r.health.observeLatency(now.Sub(x.startSent))
--- a/core/cell/hold.go
+++ b/core/cell/hold.go
@@ -75,11 +75,11 @@
 // ackable returns the number up to which ends may be acknowledged now. A runner that has
 // restarted under the same id numbers its ends anew, and an acknowledgement meant for the
 // previous incarnation would make it forget ends that the cell has not received. So it is
-// zero while a run of a stored job was started after the latest hold that this
-// incarnation has answered.
+// zero while a run of a stored job may have been started by another incarnation: after the latest
+// hold that this one has answered, unless the answer to the order shows that it is the same.
 func (r *runner) ackable() int64 {
 	for _, x := range r.runs {
-		if x.task == nil || x.task.job.Transient {
+		if x.task == nil || x.task.job.Transient || x.confirmed {
 			continue
 		}
 		if x.startAnswered.IsZero() || x.startAnswered.After(r.confirmedHold) {
--- a/core/cell/run.go
+++ b/core/cell/run.go
@@ -25,6 +25,7 @@
 	resent         bool      // the start order was sent again
 	startsInFlight int       // start orders without a reply
 	startAnswered  time.Time // when the start order was answered; zero before
+	confirmed      bool      // the incarnation that answered it is the one that has answered holds
 	percentAt      time.Time // when percent was last reported
 	percent        float64
 	percentChanged time.Time // when percent last changed
@@ -34,6 +35,27 @@
 	lookAt         time.Time // when the runner is next asked for the progress of the run
 }
 
+// maxStartClock is the highest reading of the clock of a runner that has just started.
+const maxStartClock = time.Second
+
+// maxClockLag is how far the reading in a reply may be behind the latest one, since replies can
+// overtake each other.
+const maxClockLag = time.Second
+
+// confirm records whether the answer at now to the start order of x, with a reading of the
+// runner's clock, proves that the runner has not restarted since its latest answer. The clock of a
+// new incarnation starts anew, so it cannot have reached the latest reading yet unless that was
+// low. X may be nil.
+func (x *run) confirm(now time.Time, clock int64) {
+	if x == nil || clock == 0 || x.resent {
+		return // another order in flight may start it in a later incarnation
+	}
+	r := x.runner
+	restarted := now.Sub(r.clockAt) + maxStartClock // highest reading of a new incarnation
+	least := time.Duration(r.clock)*time.Millisecond - maxClockLag
+	x.confirmed = restarted < least && time.Duration(clock)*time.Millisecond >= least
+}
+
 // checkRuns handles the start and stop orders of r that were not answered in time, and
 // stops orphaned runs whose job nobody has resubmitted.
 func (c *Cell) checkRuns(now time.Time, r *runner) {
--- a/core/cell/runner_world_test.go
+++ b/core/cell/runner_world_test.go
@@ -46,8 +46,10 @@
 	unackedEnds  []order.EndedRun
 	lastEnd      int64 // number of the last end
 	acked        int64
-	pendingHolds []func()       // replies of holds that wait for an end
-	lapsedEnds   map[int64]bool // numbers of the ends that were unacknowledged when the lease expired
+	listedAt     map[int64]time.Time // when the unacknowledged ends were first listed
+	longestAck   time.Duration       // longest time from the first listing of an end to its acknowledgement
+	pendingHolds []func()            // replies of holds that wait for an end
+	lapsedEnds   map[int64]bool      // numbers of the ends that were unacknowledged when the lease expired
 }
 
 // simRun is a run on a simRunner.
@@ -76,6 +78,7 @@
 	r.token, r.leaseUntil, r.lastEnd, r.acked = 0, 0, 0, 0
 	r.runs, r.highestRun, r.lapsedEnds = map[work.Task]*simRun{}, map[work.Task]int{}, map[int64]bool{}
 	r.unackedEnds, r.pendingHolds, r.dead = nil, nil, false
+	r.listedAt = map[int64]time.Time{}
 }
 
 // failureDelay returns how long a call without a reply takes to fail: timeout, or a
@@ -379,6 +382,10 @@
 	for len(r.unackedEnds) > 0 && r.unackedEnds[0].Number <= through {
 		e := r.unackedEnds[0]
 		r.unackedEnds = r.unackedEnds[1:]
+		if at, listed := r.listedAt[e.Number]; listed {
+			r.longestAck = max(r.longestAck, w.now.Sub(at))
+			delete(r.listedAt, e.Number)
+		}
 		if r.lapsedEnds[e.Number] {
 			continue
 		}
@@ -413,6 +420,11 @@
 	}
 	listed := min(len(r.unackedEnds), r.world.endsPerReply)
 	h.Ends = append(h.Ends, r.unackedEnds[:listed]...)
+	for _, e := range h.Ends {
+		if _, before := r.listedAt[e.Number]; !before {
+			r.listedAt[e.Number] = r.world.now
+		}
+	}
 	h.EndsTruncated = listed == r.world.endsPerReply
 	return h
 }
--- a/core/cell/truncated_test.go
+++ b/core/cell/truncated_test.go
@@ -43,3 +43,41 @@
 		}
 	}
 }
+
+// TestAcknowledgementsUnderStarts guards against ends that are not acknowledged for seconds because
+// tasks of stored jobs are started on their runner all the while. The bound is the time after which
+// the platform counts an end as acknowledged.
+func TestAcknowledgementsUnderStarts(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 1, 320000)
+	w.takeOver()
+	w.run(5 * time.Second)
+	for i := range 3 {
+		w.submit(newJob(i+1, false, work.Step{Count: 400, CPU: 10000, Estimate: 100}))
+	}
+	w.run(20 * time.Second)
+	require.Empty(t, w.violations)
+	checkSettled(t, w)
+	require.Less(t, w.runners["r0"].longestAck, 100*time.Millisecond)
+}
+
+// TestAcknowledgementsAtRestarts guards against an acknowledgement for one incarnation of a runner
+// that makes the next one forget ends which the holder has not seen: tasks of stored jobs are started
+// all the while, and the runner restarts under its id again and again.
+func TestAcknowledgementsAtRestarts(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(8) {
+		w := newWorld(seed, 1, 320000)
+		w.takeOver()
+		w.run(10 * time.Second)
+		for i := range 4 {
+			w.submit(newJob(i+1, false, work.Step{Count: 400, CPU: 10000, Estimate: 2}))
+		}
+		for i := range 6 {
+			w.after(time.Duration(i+1)*37*time.Millisecond, w.runners["r0"].restart)
+		}
+		w.run(40 * time.Second)
+		require.Empty(t, w.violations)
+		checkSettled(t, w)
+	}
+}
