cell: the progress of a job is stored in parts that fit into a row

Cause: the progress of a job was one row without a bound, with the checkpoints of all unfinished tasks. At 1,200 tasks it had 84,135 bytes, at 4,000 285,735; the store takes 65,536.

Now 200 tasks share a row, and only rows with changes are written, with others whose checkpoints have changed while there is room. All that is stored of a task is in one row, so no row depends on another one, and a crash between two writes loses nothing that was acknowledged: an end is acknowledged once all rows that it concerns are written, which are several only for a gang across a border. A gang of which one member is done is done. Where a row would still be too large, checkpoints and then the runners to avoid are left out, with a log line. Rows of earlier builds are read and split by the first write; earlier builds do not read the further rows.

--- a/core/cell/ends.go
+++ b/core/cell/ends.go
@@ -89,7 +89,7 @@
 			return
 		}
 		c.release(x)
-		c.deferAck(j, ref)
+		c.deferAck(t, ref)
 	}
 }
 
@@ -102,7 +102,7 @@
 		return
 	}
 	c.release(x)
-	j.unstoredEnds = append(j.unstoredEnds, ref)
+	j.unstoredEnds = append(j.unstoredEnds, unstoredEnd{endRef: ref})
 }
 
 // saveCheckpoint records a checkpoint of a run, unless a later run has saved one.
@@ -111,8 +111,10 @@
 		return
 	}
 	for _, m := range t.members() { // the checkpoint of a member is that of its gang
-		if run >= m.checkpoint.run {
-			m.checkpoint = checkpoint{run: run, value: value}
+		saved := checkpoint{run: run, value: value}
+		if run >= m.checkpoint.run && saved != m.checkpoint {
+			m.checkpoint = saved
+			m.job.row.parts[m.part()].stale = true
 		}
 	}
 }
@@ -147,7 +149,7 @@
 	j := t.job
 	if t.done && t.spec().Gang {
 		c.release(x)
-		c.deferAck(j, ref)
+		c.deferAck(t, ref)
 		return
 	}
 	if t.done || e.Run < t.lastRun {
@@ -158,7 +160,7 @@
 	c.release(x)
 	j.remaining[t.step]--
 	c.finishGang(t, e)
-	c.deferAck(j, ref)
+	c.deferAck(t, ref)
 	j.updateReady()
 	c.addReady(j)
 	if j.complete() {
@@ -181,7 +183,7 @@
 	t.triedRunners = append(t.triedRunners, r.ID)
 	c.log("event", "fail", "job", j.ID, "task", t.index, "run", e.Run, "runner", r.ID, "fails", len(t.failedRuns), "of", j.Queue.MaxAttempts)
 	c.release(x)
-	c.deferAck(j, ref)
+	c.deferAck(t, ref)
 	if t.failures() >= max(j.Queue.MaxAttempts, 1) {
 		c.finish(now, j, work.Failed)
 	}
@@ -199,15 +201,19 @@
 	return len(runs)
 }
 
-// deferAck delays the acknowledgement of an end until its effects on j are stored. The
-// effects on a transient job are not stored, so its ends can be acknowledged at once.
-func (c *Cell) deferAck(j *job, ref endRef) {
+// deferAck delays the acknowledgement of an end of t until its effects on t and the other members
+// of its gang are stored. The effects on a transient job are not stored, so its ends can be
+// acknowledged at once.
+func (c *Cell) deferAck(t *task, ref endRef) {
+	j := t.job
 	if j.Transient {
 		ref.markStored()
 		return
 	}
-	j.unstoredEnds = append(j.unstoredEnds, ref)
-	j.row.progressDue = true
+	parts := partsOf(t.members())
+	j.endNumber++
+	j.unstoredEnds = append(j.unstoredEnds, unstoredEnd{endRef: ref, number: j.endNumber, parts: parts})
+	j.markPartsDue(parts)
 	c.markDirty(j)
 }
 
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -50,8 +50,10 @@
 	row          jobRow
 
 	adviceByStep map[int]*advice // by step; nil if the queue needs no advice
-	unstoredEnds []endRef        // ends whose effects are not stored yet
-	released     int             // number of occurrences whose time has come
+	unstoredEnds []unstoredEnd
+	endNumber    int   // number of the last of them so far
+	firstTask    []int // number of the first task of each step, through all occurrences
+	released     int   // number of occurrences whose time has come
 	// leastRequired holds the least amount of each resource that a task of any step requires.
 	leastRequired Resources
 	hasGang       bool      // at least one step is a gang
@@ -105,14 +107,19 @@
 	steps := len(w.Steps) * w.Occurrences()
 	j.tasks = make([][]*task, steps)
 	j.remaining = make([]int, steps)
+	j.firstTask = make([]int, steps)
+	total := 0
 	for s := range steps {
 		count := j.spec(s).Count
+		j.firstTask[s] = total
+		total += count
 		j.remaining[s] = count
 		j.tasks[s] = make([]*task, count)
 		for i := range j.tasks[s] {
 			j.tasks[s][i] = &task{job: j, step: s, index: i}
 		}
 	}
+	j.row.parts = make([]progressPart, (total+tasksPerPart-1)/tasksPerPart)
 	if w.RepeatCount == 0 {
 		j.released = 1
 	}
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -94,29 +94,34 @@
 	j.notifyWaiters(Outcome{Verdict: Accepted, State: work.Queued})
 }
 
-// restoreProgress restores the progress of a job from its row.
+// restoreProgress restores a part of the progress of a job from its row.
 func (c *Cell) restoreProgress(row table.Row) {
-	j := c.jobs[nameFromKey(row.Key)]
+	id, part, ok := partFromKey(row.Key)
+	j := c.jobs[id]
 	if j == nil {
 		return
 	}
-	j.row.progressVersion = row.Version
 	var p ProgressRow
-	if err := json.Unmarshal(row.Value, &p); err != nil {
+	if ok && part < len(j.row.parts) {
+		j.row.parts[part].version = row.Version
+	} else {
+		ok = false
+	}
+	if err := json.Unmarshal(row.Value, &p); err != nil || !ok {
 		c.log("event", "badrow", "key", row.Key, "err", err)
 		return
 	}
 	for s, done := range p.Done {
 		for _, i := range done {
-			if t := j.taskAt(s, i); t != nil && !t.done {
-				t.done = true
-				j.remaining[s]--
+			if t := j.taskAt(p.First+s, i); t != nil {
+				c.restoreDone(t, part)
 			}
 		}
 	}
 	for _, f := range p.Failures {
 		if t := j.taskAt(f.Step, f.Index); t != nil {
 			t.failedRuns, t.triedRunners = f.Runs, f.Runners
+			c.restoreInPart(t, part)
 		}
 	}
 	for _, saved := range p.Checkpoints {
@@ -126,6 +131,26 @@
 	}
 }
 
+// restoreDone marks a task as done, and with it the other members of its gang.
+func (c *Cell) restoreDone(t *task, part int) {
+	for _, m := range t.members() {
+		if !m.done {
+			m.done = true
+			t.job.remaining[m.step]--
+		}
+		c.restoreInPart(m, part)
+	}
+}
+
+// restoreInPart schedules a write of the part of t if its progress was restored from another one,
+// as from rows that earlier builds have written.
+func (c *Cell) restoreInPart(t *task, part int) {
+	if own := t.part(); own != part {
+		t.job.row.parts[own].due = true
+		c.markDirty(t.job)
+	}
+}
+
 // taskAt returns the task at an index of a step of job.tasks, or nil if there is none.
 func (j *job) taskAt(step, index int) *task {
 	if step < 0 || step >= len(j.tasks) || index < 0 || index >= len(j.tasks[step]) {
--- a/core/cell/rows.go
+++ b/core/cell/rows.go
@@ -13,9 +13,10 @@
 	TableEnds     = "ends"     // final states of jobs
 )
 
-// ProgressRow is the value of the row that holds the progress of a job. Steps are counted
+// ProgressRow is the value of a row that holds a part of the progress of a job. Steps are counted
 // through all occurrences.
 type ProgressRow struct {
+	First       int              `json:"first,omitempty"` // step of the first element of Done
 	Done        [][]int          `json:"done"`            // indexes of the finished tasks, by step
 	Failures    []TaskFailures   `json:"fails,omitempty"` // tasks with failed runs
 	Checkpoints []TaskCheckpoint `json:"saved,omitempty"` // checkpoints of unfinished tasks
@@ -49,12 +50,11 @@
 
 // jobRow is the state of the rows of a job. Versions are zero if there is no row.
 type jobRow struct {
-	stored          bool
-	dirty           bool // present in rowWriter.dirty
-	inFlight        bool // part of a transaction in flight
-	jobVersion      int64
-	progressVersion int64
-	progressDue     bool // the progress row is to be written
+	stored     bool
+	dirty      bool // present in rowWriter.dirty
+	inFlight   bool // part of a transaction in flight
+	jobVersion int64
+	parts      []progressPart
 }
 
 // Key returns the key of the row with the given name in a table of the cell.
@@ -62,25 +62,40 @@
 	return c.Term.Cell + "/" + tab + "/" + name
 }
 
-// progress returns the current value of the progress row of j.
-func (j *job) progress() ProgressRow {
-	p := ProgressRow{Done: make([][]int, len(j.tasks))}
+// progress returns the current value of the row of a part of the progress of j.
+func (j *job) progress(part int) ProgressRow {
+	p := ProgressRow{}
+	first, end := part*tasksPerPart, (part+1)*tasksPerPart
 	for s, step := range j.tasks {
-		for i, t := range step {
-			if t.done {
-				p.Done[s] = append(p.Done[s], i)
-			}
-			if t.checkpoint.value != "" && !t.done {
-				p.Checkpoints = append(p.Checkpoints, TaskCheckpoint{Step: s, Index: i, Run: t.checkpoint.run, Value: t.checkpoint.value})
-			}
-			if len(t.failedRuns) > 0 {
-				p.Failures = append(p.Failures, TaskFailures{Step: s, Index: i, Runs: t.failedRuns, Runners: t.triedRunners})
-			}
+		offset := j.firstTask[s]
+		if offset+len(step) <= first || offset >= end {
+			continue
+		}
+		if p.Done == nil {
+			p.First = s
+		}
+		p.Done = append(p.Done, nil)
+		for i := max(first-offset, 0); i < min(end-offset, len(step)); i++ {
+			p.add(step[i])
 		}
 	}
 	return p
 }
 
+// add adds the progress of a task of the last step in Done.
+func (p *ProgressRow) add(t *task) {
+	if t.done {
+		last := &p.Done[len(p.Done)-1]
+		*last = append(*last, t.index)
+	}
+	if t.checkpoint.value != "" && !t.done {
+		p.Checkpoints = append(p.Checkpoints, TaskCheckpoint{Step: t.step, Index: t.index, Run: t.checkpoint.run, Value: t.checkpoint.value})
+	}
+	if len(t.failedRuns) > 0 {
+		p.Failures = append(p.Failures, TaskFailures{Step: t.step, Index: t.index, Runs: t.failedRuns, Runners: t.triedRunners})
+	}
+}
+
 // encode returns v as JSON. It panics if v can't be encoded, which no value that the cell
 // stores does.
 func encode(v any) json.RawMessage {
--- a/core/cell/settings.go
+++ b/core/cell/settings.go
@@ -12,6 +12,7 @@
 	DefaultBusyPollWait   = 500 * time.Millisecond
 	DefaultIdlePollWait   = 2 * time.Second
 	DefaultMaxWrites      = 2
+	DefaultMaxRow         = 48 << 10
 )
 
 // Settings holds the time limits and the write concurrency of a Cell. Zero values select
@@ -25,6 +26,7 @@
 	BusyPollWait   time.Duration // long-poll time at a runner with runs
 	IdlePollWait   time.Duration // long-poll time at a runner without runs
 	MaxWrites      int           // maximum number of write transactions in flight
+	MaxRow         int           // largest value of a row, in bytes
 }
 
 // withDefaults returns s with zero values replaced by the defaults.
@@ -44,6 +46,9 @@
 	if s.MaxWrites == 0 {
 		s.MaxWrites = DefaultMaxWrites
 	}
+	if s.MaxRow == 0 {
+		s.MaxRow = DefaultMaxRow
+	}
 	return s
 }
 
--- a/core/cell/transaction.go
+++ b/core/cell/transaction.go
@@ -48,6 +48,7 @@
 	Written    table.Written
 	Failed     bool // no result was received, or the write was refused
 	NotApplied bool // the write failed and certainly never takes effect
+	Malformed  bool // the store never accepts the write as it is
 }
 
 // WriteAnswered processes the result of the write with a number. Results of unknown
@@ -145,10 +146,6 @@
 		version = appliedVersion
 	}
 	j.row.inFlight = false
-	for _, e := range j.unstoredEnds[:ch.endCount] {
-		e.markStored()
-	}
-	j.unstoredEnds = append([]endRef(nil), j.unstoredEnds[ch.endCount:]...)
 	switch {
 	case ch.endsJob:
 		c.closeJob(now, j, version)
@@ -156,7 +153,10 @@
 		j.row.jobVersion = version
 		c.acceptStored(now, j)
 	default:
-		j.row.progressVersion = version
+		for _, p := range ch.parts {
+			j.row.parts[p].version, j.row.parts[p].storedThrough = version, ch.through
+		}
+		j.ackStored()
 	}
 	return true
 }
@@ -203,9 +203,11 @@
 			c.acceptStored(now, j)
 		}
 	}
-	if r, ok := conflicts[c.Key(TableProgress, j.ID)]; ok {
-		j.row.progressVersion = r.Version
+	for p := range j.row.parts {
+		if r, ok := conflicts[c.partKey(j, p)]; ok {
+			j.row.parts[p].version = r.Version
+		}
 	}
-	j.row.progressDue = j.row.progressDue || (!ch.endsJob && j.row.stored)
+	j.markPartsDue(ch.parts)
 	c.markDirty(j)
 }
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -31,6 +31,7 @@
 	faults        faults
 	endsPerReply  int                  // largest number of ends that a runner lists in a reply
 	loadDelay     time.Duration        // added to the time until a new holder has read the rows
+	refusedWrites []string             // reasons for which the store has refused writes as malformed
 	resumedFrom   map[work.Task]string // checkpoint that the last run of a task started from
 	openQuestions int                  // number of unanswered questions to the adviser
 
@@ -485,6 +486,11 @@
 			w.after(w.jitter(), func() { answer(cell.WriteResult{Failed: true, NotApplied: !lost}) })
 			return
 		}
+		if refused := w.store.refuses(tx); refused != "" {
+			w.refusedWrites = append(w.refusedWrites, refused)
+			w.after(w.jitter(), func() { answer(cell.WriteResult{Failed: true, NotApplied: true, Malformed: true}) })
+			return
+		}
 		late := lost && w.rng.IntN(2) == 0
 		if late { // it takes effect 1 s to 5 s later, if its conditions still hold
 			w.after(time.Second+time.Duration(w.rng.Int64N(int64(4*time.Second))), func() { w.store.write(tx) })
@@ -500,11 +506,43 @@
 	})
 }
 
+// Limits of the store.
+const (
+	simMaxRow         = 65536   // bytes of a value
+	simMaxTransaction = 1 << 20 // bytes of the values of a transaction in base64
+	simMaxEntries     = 100     // conditions and changes of a transaction
+)
+
 // simStore is a store of versioned rows in memory.
 type simStore struct {
 	values  map[string]table.Row
 	version int64
 	down    bool
+	odd     string // a key that it refuses to write, if not empty
+}
+
+// refuses returns why the store refuses a transaction as malformed, or an empty string.
+func (s *simStore) refuses(tx table.Write) string {
+	bytes, entries := 0, 0
+	for _, op := range tx.Ops {
+		if len(op.Value) > simMaxRow {
+			return fmt.Sprintf("%s: %d bytes", op.Key, len(op.Value))
+		}
+		if op.Key == s.odd && !op.CheckOnly && !op.Delete {
+			return op.Key + ": odd"
+		}
+		bytes += len(op.Value) * 4 / 3
+		if op.IfVersion != table.AnyVersion {
+			entries++
+		}
+		if !op.CheckOnly {
+			entries++
+		}
+	}
+	if bytes > simMaxTransaction || entries > simMaxEntries {
+		return fmt.Sprintf("%d bytes, %d entries", bytes, entries)
+	}
+	return ""
 }
 
 // write executes a transaction if all its conditions hold.
--- a/core/cell/writer.go
+++ b/core/cell/writer.go
@@ -21,10 +21,11 @@
 
 // change is the part of a transaction that concerns one job.
 type change struct {
-	job      *job
-	ops      []table.Op
-	endCount int  // number of leading job.unstoredEnds that it stores
-	endsJob  bool // it stores the end of the job
+	job     *job
+	ops     []table.Op
+	parts   []int // parts of the progress that it writes
+	through int   // number of the last end with its effects in them
+	endsJob bool  // it stores the end of the job
 }
 
 // rowWriter is the state of the writes of job rows.
@@ -108,7 +109,12 @@
 		}
 		entries += changeEntries
 		size += changeSize
-		j.row.dirty, j.row.inFlight, j.row.progressDue = false, true, false
+		ch.markSent()
+		j.row.inFlight = true
+		j.row.dirty = !ch.endsJob && j.hasDuePart()
+		if j.row.dirty {
+			kept = append(kept, j)
+		}
 		tx.changes = append(tx.changes, ch)
 	}
 	clear(c.writer.dirty[len(kept):])
@@ -147,15 +153,14 @@
 			{Key: c.Key(TableEnds, j.ID), Value: encode(EndRow{State: j.state})},
 			{Key: c.Key(TableJobs, j.ID), IfVersion: j.row.jobVersion, Delete: true},
 		}
-		if j.row.progressVersion != 0 {
-			ops = append(ops, table.Op{Key: c.Key(TableProgress, j.ID), IfVersion: j.row.progressVersion, Delete: true})
+		for p, part := range j.row.parts {
+			if part.version != 0 {
+				ops = append(ops, table.Op{Key: c.partKey(j, p), IfVersion: part.version, Delete: true})
+			}
 		}
-		return &change{job: j, ops: ops, endCount: len(j.unstoredEnds), endsJob: true}
-	case j.row.progressDue:
-		return &change{job: j, ops: []table.Op{
-			{Key: c.Key(TableProgress, j.ID), IfVersion: j.row.progressVersion, Value: encode(j.progress())},
-			{Key: c.Key(TableJobs, j.ID), IfVersion: j.row.jobVersion, CheckOnly: true}, // no progress is written after the end, which deletes that row
-		}, endCount: len(j.unstoredEnds)}
+		return &change{job: j, ops: ops, endsJob: true}
+	case j.hasDuePart():
+		return c.progressChange(j)
 	}
 	return nil
 }
