cell, platform: a malformed write is set apart, and jobs must fit into a row

Cause: a write that the store refused with 400 was taken for one that might have been applied, and repeated unchanged for good, with the changes of other jobs in it; two of them left no place for any other write. The size of a row was not read from the settings, so a job that is itself too large was accepted into such a write.

Now the store's answer says that a write is malformed.

--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -32,6 +32,7 @@
 	ReasonStore        = "store" // the store accepts no writes
 	ReasonLease        = "lease" // the holder may start nothing, since another may have become it
 	ReasonNoRunnerFits = "tasks" // no runner is large enough
+	ReasonTooLarge     = "size"  // the job does not fit into a row of the store
 	ReasonNoRoom       = "room"  // not all tasks can start at once, and the job was submitted for that only
 )
 
--- a/core/cell/large_test.go
+++ b/core/cell/large_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -91,3 +92,54 @@
 		}
 	}
 }
+
+// TestMalformedWrite guards against a write that the store refuses as malformed and that is sent again
+// for good: it must not hold up the writes of other jobs, and its own job must get an answer.
+func TestMalformedWrite(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name  string
+		key   string
+		state work.State
+	}{
+		{"insert", "c0/jobs/", work.Unknown},
+		{"progress", "c0/progress/", work.Failed},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(1, 4, 64000)
+			w.takeOver()
+			w.run(time.Second)
+			odd := newJob(1, false, plainStep(2), plainStep(2, 0))
+			w.store.odd = test.key + odd.ID
+			w.submit(odd)
+			for i := range 40 {
+				w.submit(newJob(i+2, false, plainStep(1+i%3), plainStep(1, 0)))
+			}
+			w.run(20 * time.Second)
+			require.LessOrEqual(t, len(w.refusedWrites), 8, "%v", w.refusedWrites)
+			require.Equal(t, test.state, w.store.state(odd.ID))
+			_, answered := w.outcomes[odd.ID]
+			require.True(t, answered)
+			delete(w.submitted, odd.ID)
+			for id := range w.submitted {
+				require.Equal(t, cell.Accepted, w.outcomes[id].Verdict, id)
+			}
+			checkSettled(t, w)
+		})
+	}
+}
+
+// TestJobTooLarge guards against a job that is accepted though its row is too large for the store.
+func TestJobTooLarge(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 1, 64000)
+	w.takeOver()
+	w.run(time.Second)
+	j := newJob(1, false, plainStep(1))
+	j.Steps[0].PreferredRack = strings.Repeat("x", simMaxRow)
+	w.submit(j)
+	w.run(time.Second)
+	require.Equal(t, cell.Outcome{Verdict: cell.Refused, Reason: cell.ReasonTooLarge}, w.outcomes[j.ID])
+	require.Empty(t, w.refusedWrites)
+}
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -41,6 +41,12 @@
 		reply(Outcome{Verdict: HandingOver})
 		return
 	}
+	if !w.Transient && len(encode(&w)) > c.Settings.MaxRow {
+		c.Metrics.Count("refused_"+ReasonTooLarge, 1)
+		c.log("event", "refuse", "job", w.ID, "queue", w.Queue.Name, "reason", ReasonTooLarge)
+		reply(Outcome{Verdict: Refused, Reason: ReasonTooLarge})
+		return
+	}
 	j := newJob(w, now.Add(-time.Duration(submission.AgeMS)*time.Millisecond))
 	// A job with runs here must not be refused: a caller could start it elsewhere.
 	j.inherited = submission.Resubmitted || len(c.unclaimedRuns(w.ID)) > 0
--- a/core/cell/transaction.go
+++ b/core/cell/transaction.go
@@ -25,6 +25,7 @@
 	retryAt        time.Time // time of the next attempt; zero while one is in flight
 	backoff        time.Duration
 	mayHaveApplied bool // an attempt may have taken effect
+	malformed      bool // the store refuses it, so it takes no place of others
 }
 
 // send sends a transaction under a new number, for the first time or as another attempt.
@@ -59,6 +60,10 @@
 		return
 	}
 	if result.Failed {
+		if result.Malformed {
+			c.setApart(now, tx)
+			return
+		}
 		c.handleWriteFailure(now, tx, result.NotApplied)
 		return
 	}
@@ -104,7 +109,7 @@
 	}
 	tx.mayHaveApplied = tx.mayHaveApplied || !notApplied
 	if !tx.mayHaveApplied {
-		tx.changes = slices.DeleteFunc(tx.changes, func(ch *change) bool { return c.refuseUnstored(ch) })
+		tx.changes = slices.DeleteFunc(tx.changes, func(ch *change) bool { return c.refuseUnstored(ch, ReasonStore) })
 	}
 	if len(tx.changes) == 0 && len(tx.removals) == 0 {
 		delete(c.writer.transactions, tx.number)
@@ -114,17 +119,50 @@
 	tx.backoff = min(2*tx.backoff, maxWriteBackoff)
 }
 
-// refuseUnstored refuses the job of a change whose insert certainly did not take effect.
-// It returns false if the change is not the insert of a job.
-func (c *Cell) refuseUnstored(ch *change) bool {
+// setApart handles a write that the store refuses as malformed and would refuse again: it is
+// divided until the change at fault is found. The job of that change gets an answer: one that is
+// not stored yet is refused, and one whose progress cannot be stored fails.
+func (c *Cell) setApart(now time.Time, tx *transaction) {
+	delete(c.writer.transactions, tx.number)
+	c.schedulePass()
+	if n := len(tx.changes); n > 1 || (n == 1 && len(tx.removals) > 0) {
+		c.send(now, &transaction{changes: tx.changes[:n/2], removals: tx.removals, backoff: minWriteBackoff, mayHaveApplied: tx.mayHaveApplied})
+		c.send(now, &transaction{changes: tx.changes[n/2:], backoff: minWriteBackoff, mayHaveApplied: tx.mayHaveApplied})
+		return
+	}
+	if len(tx.changes) == 0 {
+		c.log("event", "badwrite", "removals", len(tx.removals))
+		return
+	}
+	ch := tx.changes[0]
+	size, entries := sizeOf(ch.ops)
+	c.Metrics.Count("badwrite", 1)
+	c.log("event", "badwrite", "job", ch.job.ID, "stored", ch.job.row.stored, "final", ch.endsJob, "bytes", size, "entries", entries)
+	switch {
+	case c.refuseUnstored(ch, ReasonTooLarge):
+	case ch.endsJob:
+		tx.malformed, tx.retryAt = true, now.Add(malformedRetry)
+		c.writer.transactions[tx.number] = tx
+	default:
+		ch.job.row.inFlight = false
+		c.finish(now, ch.job, work.Failed)
+	}
+}
+
+// malformedRetry is the time between two attempts to write the end of a job that the store refuses.
+const malformedRetry = 5 * time.Second
+
+// refuseUnstored refuses the job of a change whose insert certainly did not take effect, for the
+// reason given. It returns false if the change is not the insert of a job.
+func (c *Cell) refuseUnstored(ch *change, reason string) bool {
 	j := ch.job
 	if j.row.stored || ch.endsJob {
 		return false
 	}
 	delete(c.jobs, j.ID)
-	c.Metrics.Count("refused_"+ReasonStore, 1)
-	c.log("event", "refuse", "job", j.ID, "queue", j.Queue.Name, "reason", ReasonStore)
-	j.notifyWaiters(Outcome{Verdict: Refused, Reason: ReasonStore, RetryAfter: time.Second})
+	c.Metrics.Count("refused_"+reason, 1)
+	c.log("event", "refuse", "job", j.ID, "queue", j.Queue.Name, "reason", reason)
+	j.notifyWaiters(Outcome{Verdict: Refused, Reason: reason, RetryAfter: time.Second})
 	j.answerCancels(work.Unknown, true)
 	return true
 }
--- a/core/cell/writer.go
+++ b/core/cell/writer.go
@@ -38,6 +38,17 @@
 	meanLatency  time.Duration
 }
 
+// inFlight returns the number of transactions in flight, without those that the store refuses.
+func (w *rowWriter) inFlight() int {
+	n := 0
+	for _, tx := range w.transactions {
+		if !tx.malformed {
+			n++
+		}
+	}
+	return n
+}
+
 // observeLatency adds the latency of a write to the moving average.
 func (w *rowWriter) observeLatency(d time.Duration) { w.meanLatency += (d - w.meanLatency) / 8 }
 
@@ -74,7 +85,7 @@
 			c.send(now, tx)
 		}
 	}
-	for len(c.writer.transactions) < c.Settings.MaxWrites {
+	for c.writer.inFlight() < c.Settings.MaxWrites {
 		tx := c.nextChanges()
 		if tx == nil {
 			tx = c.nextRemovals()
--- a/core/eventloop/loop.go
+++ b/core/eventloop/loop.go
@@ -520,11 +520,17 @@
 		written, err := w.l.Store.Write(ctx, tx)
 		cancel()
 		w.l.Post(cell.WriteReply{Number: number, Result: cell.WriteResult{
-			Written: written, Failed: err != nil, NotApplied: err != nil && notWritten(err),
+			Written: written, Failed: err != nil, NotApplied: err != nil && notWritten(err), Malformed: err != nil && malformed(err),
 		}})
 	})
 }
 
+// malformed reports whether err says that the store refuses the write as it is.
+func malformed(err error) bool {
+	var v interface{ Malformed() bool }
+	return errors.As(err, &v) && v.Malformed()
+}
+
 // notWritten reports whether err guarantees that a write had no effect.
 func notWritten(err error) bool {
 	var v interface{ NotWritten() bool }
--- a/core/shard/shard_test.go
+++ b/core/shard/shard_test.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 
+	"gypsumward/core/cell"
 	"gypsumward/core/shard"
 	"gypsumward/core/table"
 )
@@ -159,6 +160,14 @@
 	require.Equal(t, few.InZone(zones[0]), few.Preferred("a", zones[0])[:len(few.InZone(zones[0]))])
 }
 
+// TestRowSize checks that the plan of more runners than are aimed for fits into a row of the store.
+func TestRowSize(t *testing.T) {
+	t.Parallel()
+	raw, err := json.Marshal(fleet(4000, 8).Plan())
+	require.NoError(t, err)
+	require.Less(t, len(raw), cell.DefaultMaxRow)
+}
+
 // TestFormats encodes and decodes plans, also of the former format, which counts the cells,
 // and refuses those that are damaged or that a later build has made.
 func TestFormats(t *testing.T) {
