shutdown, hosted: the end of serving does not wait for handovers

Cause: the servers were stopped after all handovers, which may take 4.7 s when the standbys of a cell shut down too. Till then requests were taken, and those that were not done 0.6 s later were cut.

core/shutdown orders the steps: from 2.5 s on nothing is taken, independent of the handovers, and 0.3 s before the end the contexts of the requests in progress are ended, so that they answer.

--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -31,6 +31,7 @@
 	"gypsumward/core/roster"
 	"gypsumward/core/route"
 	"gypsumward/core/shard"
+	"gypsumward/core/shutdown"
 	"gypsumward/core/sockopt"
 	"gypsumward/core/stall"
 	"gypsumward/core/table"
@@ -43,6 +44,7 @@
 	handoverTimeout = 600 * time.Millisecond  // of calls for a handover, and of what follows a failed one
 	drainTime       = 2500 * time.Millisecond // until clients have been directed to other instances
 	killMargin      = 700 * time.Millisecond  // kept free of the time until the process is killed
+	answerMargin    = 300 * time.Millisecond  // in which requests in progress are answered before that
 )
 
 // Limits and intervals.
@@ -86,7 +88,8 @@
 	readMembers  chan struct{} // requests an immediate read of the members
 	wake         chan struct{} // makes supervise look at the cells
 	draining     atomic.Bool
-	balanceAt    time.Time // earliest time at which balance hands the next cell over
+	endRequests  context.CancelFunc // ends the contexts of all requests of clients
+	balanceAt    time.Time          // earliest time at which balance hands the next cell over
 }
 
 // New returns an instance with the given settings that logs to out. It does nothing
@@ -199,12 +202,14 @@
 	ingressServer.IdleTimeout = time.Minute
 	metricsServer := khttp.NewServer(khttp.Address(net.JoinHostPort(settings.IP, metricsPort)), khttp.Timeout(0))
 	metricsServer.Handle("/metrics", h.metrics.handler())
+	requests, end := context.WithCancel(context.WithoutCancel(ctx))
+	h.endRequests = end
 	servers := []*khttp.Server{ingressServer, readyServer, metricsServer}
 	for _, s := range servers {
 		if _, err := s.Endpoint(); err != nil {
 			return nil, errors.Trace(err)
 		}
-		wg.Go(func() { _ = s.Start(context.WithoutCancel(ctx)) })
+		wg.Go(func() { _ = s.Start(requests) })
 	}
 	return servers, nil
 }
@@ -348,25 +353,35 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// shutDown hands the cells over, waits until clients have been directed to other
-// instances and then stops the servers, which finish the calls in progress.
+// shutDown hands the cells over and directs clients to other instances. Meanwhile, independent of
+// the handovers, the servers stop taking calls and finish those in progress.
 func (h *Host) shutDown(servers []*khttp.Server) {
 	start := time.Now()
 	h.draining.Store(true)
 	_ = h.log.Log("event", "stop")
 	grace := h.settings.Current().ShutdownGrace - killMargin
+	s := &shutdown.Sequence{
+		DrainTime: drainTime, Grace: grace, AnswerMargin: answerMargin, EndRequests: h.endRequests,
+		HandOver: func() { h.handOver(h.clock.Now().Add(grace - handoverTimeout)) },
+		StopServing: func(ctx context.Context) {
+			_ = h.log.Log("event", "closed", "after", time.Since(start))
+			for _, p := range servers {
+				_ = p.Stop(ctx)
+			}
+			_ = h.log.Log("event", "answered", "after", time.Since(start), "err", ctx.Err())
+		},
+	}
+	s.Run()
+	_ = h.log.Log("event", "stopped", "took", time.Since(start))
+}
+
+// handOver gives up the part of this instance in all cells until deadline.
+func (h *Host) handOver(deadline time.Time) {
 	var handovers sync.WaitGroup
 	for _, p := range h.participants() {
 		p.elector.StopClaiming()
-		handovers.Go(func() { p.leave(h.clock.Now().Add(grace - handoverTimeout)) })
+		handovers.Go(func() { p.leave(deadline) })
 	}
 	handovers.Go(func() { h.roster.Deregister(context.Background()) })
 	handovers.Wait()
-	time.Sleep(drainTime - time.Since(start))
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace))
-	defer cancel()
-	for _, p := range servers {
-		_ = p.Stop(ctx)
-	}
-	_ = h.log.Log("event", "stopped", "took", time.Since(start))
 }
