cell: a runner with a task that lasts is tried again after a failure

Cause: after a failure a runner got a run only while it had no other, until one succeeded; a runner with a task that lasts always has another. And a lasting task that fails at each start was never held against its job, so that one of them put all runners into that state.

Only runs that were started after the failure count now, each for 2 s, since a run that lasts has no end to wait for; and chargeFailure decides for lasting tasks too whether the job or the runner is the cause.

Evidence: TestRunnersWithLastingTasks: job 0 "running" instead of "succeeded" before; TestLastingTrial fails without the 2 s.

--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -183,8 +183,8 @@
 	if s.RequiredLabel != "" && !slices.Contains(r.Labels, s.RequiredLabel) {
 		return false
 	}
-	if r.health.consecutiveFailures > 0 && len(r.runs)+r.plannedMembers > 0 {
-		return false // after a failure, one run at a time until one succeeds
+	if r.health.consecutiveFailures > 0 && r.trials(now)+r.plannedMembers > 0 {
+		return false // after a failure, one trial at a time until one succeeds
 	}
 	if t.triedOn(r) && c.spareLastAttempt(now, t, required) {
 		return false
--- a/core/cell/ends.go
+++ b/core/cell/ends.go
@@ -130,7 +130,7 @@
 	if e.Reason == order.Failed {
 		t.triedRunners = []string{ref.runner.ID}
 		if x != nil && now.Sub(x.startSent) < startupPeriod {
-			ref.runner.health.recordFailure(now)
+			c.chargeFailure(now, t.job, ref.runner)
 		}
 	}
 	c.log("event", "lasted", "job", t.job.ID, "step", t.step, "task", t.index, "run", e.Run, "runner", ref.runner.ID, "how", string(e.Reason))
--- a/core/cell/health.go
+++ b/core/cell/health.go
@@ -16,7 +16,8 @@
 
 // health records the failures and the latency of a runner.
 type health struct {
-	consecutiveFailures int // failures since the last success
+	consecutiveFailures int       // failures since the last success
+	failedAt            time.Time // when the last failure was recorded
 	backoffUntil        time.Time
 	successAt           time.Time     // when a run last succeeded
 	meanLatency         time.Duration // moving average of the reply latency
@@ -31,6 +32,7 @@
 func (h *health) recordFailure(now time.Time) {
 	backoff := min(minBackoff<<min(h.consecutiveFailures, 10), maxBackoff)
 	h.consecutiveFailures++
+	h.failedAt = now
 	h.backoffUntil = now.Add(backoff)
 }
 
@@ -46,6 +48,22 @@
 	h.successAt = now
 }
 
+// trialTime is how long a run that was started after a failure of its runner keeps others from being
+// started there. A run that lasts proves nothing by its end.
+const trialTime = 2 * time.Second
+
+// trials returns the number of runs on r that were started after its last failure and may still show
+// whether it is sound. Those that were there before the failure do not count.
+func (r *runner) trials(now time.Time) int {
+	n := 0
+	for _, x := range r.runs {
+		if x.startSent.After(r.health.failedAt) && now.Sub(x.startSent) < trialTime {
+			n++
+		}
+	}
+	return n
+}
+
 // isBackingOff reports whether the runner gets no work at now because of a failure.
 func (h *health) isBackingOff(now time.Time) bool {
 	return now.Before(h.backoffUntil)
