cell: a last attempt does not wait for room that never comes

Cause: a task whose next failure would be its last kept off runners on which it had failed as long as another one was large enough, whether that one ever had room.

Room that tasks that last take does not count any more, and the wait is bounded by the time that the job is allowed from its last failure. Where no other runner will have room it is 1 s, so that a runner that fails for a moment does not get the last attempt at once.

Evidence: TestLastAttemptBesideLastingTasks, with tasks that last and with tasks of 60 s: "running" instead of "succeeded" 3 s after before. TestLastAttemptElsewhere, TestLastAttemptOfGang and TestLastAttemptAfterTakeover pass unchanged.

--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -201,19 +201,35 @@
 	return true
 }
 
-// spareLastAttempt reports whether the next failure of t would be its last, and runners on
-// which it was not tried have the capacity for it, or for its gang, now or once they are free.
+// lastAttemptPause is the time between the last but one failure of a task and its last attempt on a
+// runner on which it has failed, if no other one will have room. The runner may recover meanwhile.
+const lastAttemptPause = time.Second
+
+// spareLastAttempt reports whether the next failure of t would be its last, so that it waits: for
+// runners on which it was not tried, if they have the capacity for it, or for its gang, now or once
+// those of their runs have ended that do not last, but no longer than its job is allowed; otherwise
+// for lastAttemptPause.
 func (c *Cell) spareLastAttempt(now time.Time, t *task, required Resources) bool {
 	if t.spec().LongRunning || t.failures()+1 < t.job.Queue.MaxAttempts {
 		return false
 	}
+	waited, limit := now.Sub(t.lastFailure()), c.allowedTime(t.job)
+	if !c.willFitElsewhere(now, t, required) {
+		limit = min(limit, lastAttemptPause)
+	}
+	return waited <= limit
+}
+
+// willFitElsewhere reports whether runners on which t was not tried have the capacity for it, or for
+// its gang, now or once those of their runs have ended that do not last.
+func (c *Cell) willFitElsewhere(now time.Time, t *task, required Resources) bool {
 	places, members := 0, len(t.members())
 	for _, r := range c.sorted {
 		if r.Service != t.job.Queue.Service || !r.isListed(now) || r.Draining || !r.fenced || r.isSilent(now, c.Settings.SilenceTimeout) ||
 			(t.spec().RequiredLabel != "" && !slices.Contains(r.Labels, t.spec().RequiredLabel)) || !t.adviceAllows(now, r) || t.triedOn(r) {
 			continue
 		}
-		n := r.Capacity.capacityFor(required)
+		n := r.Capacity.sub(r.usedByLasting()).capacityFor(required)
 		if limit := t.spec().MaxPerRunner; limit > 0 {
 			n = min(n, limit)
 		}
@@ -222,6 +238,29 @@
 	return places >= members
 }
 
+// lastFailure returns when a run of t, or of another member of its gang, last failed; the arrival of
+// its job at this holder if it has seen none.
+func (t *task) lastFailure() time.Time {
+	last := t.job.arrived
+	for _, m := range t.members() {
+		if m.failedAt.After(last) {
+			last = m.failedAt
+		}
+	}
+	return last
+}
+
+// usedByLasting returns the resources of the runs on r that do not end by themselves.
+func (r *runner) usedByLasting() Resources {
+	used := Resources{}
+	for _, x := range r.runs {
+		if x.task != nil && x.task.spec().LongRunning {
+			used = used.add(x.resources)
+		}
+	}
+	return used
+}
+
 // triedOn reports whether later runs of t, or of another member of its gang, avoid r.
 func (t *task) triedOn(r *runner) bool {
 	if g := t.job.gang(t.step); g != nil {
--- a/core/cell/ends.go
+++ b/core/cell/ends.go
@@ -178,6 +178,7 @@
 	j, r := t.job, ref.runner
 	t.lastRun = max(t.lastRun, e.Run)
 	t.failedRuns = append(t.failedRuns, e.Run)
+	t.failedAt = now
 	j.failureCount++
 	c.chargeFailure(now, j, r)
 	t.triedRunners = append(t.triedRunners, r.ID)
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -85,9 +85,10 @@
 	job          *job
 	step         int // index into job.tasks
 	index        int
-	lastRun      int   // highest known run number
-	runFloor     int   // this holder starts runs with numbers above this one
-	failedRuns   []int // numbers of the failed runs
+	lastRun      int       // highest known run number
+	runFloor     int       // this holder starts runs with numbers above this one
+	failedRuns   []int     // numbers of the failed runs
+	failedAt     time.Time // when this holder saw the last of them
 	done         bool
 	ready        bool     // may be started
 	run          *run     // run that may be alive, or nil
--- a/core/cell/probation_test.go
+++ b/core/cell/probation_test.go
@@ -69,3 +69,35 @@
 	require.Len(t, r.runs, 2)
 	require.Empty(t, w.violations)
 }
+
+// TestLastAttemptBesideLastingTasks guards against a last attempt that waits for runners which never
+// have room, since tasks that last fill them, or not within the time of the job. The one runner with
+// room fails all for a while and is sound again.
+func TestLastAttemptBesideLastingTasks(t *testing.T) {
+	t.Parallel()
+	for _, lasting := range []bool{true, false} {
+		w := newWorld(1, 3, 32000)
+		w.takeOver()
+		w.run(time.Second)
+		w.runners["r0"].unfit = true
+		w.submit(newJob(1, false, work.Step{Count: 2, CPU: 30000, Estimate: 60000, MaxPerRunner: 1, LongRunning: lasting}))
+		w.run(time.Second)
+		require.Len(t, w.runners["r1"].runs, 1)
+		require.Len(t, w.runners["r2"].runs, 1)
+		w.runners["r0"].unfit, w.runners["r0"].failsAll = false, true
+		j := newJob(2, false, work.Step{Count: 1, CPU: 4000, Estimate: 200})
+		j.Queue.TargetLatency = 1000
+		w.submit(j)
+		for range 5000 {
+			if w.endCounts[order.Failed] == 2 {
+				break
+			}
+			w.run(time.Millisecond)
+		}
+		require.Equal(t, 2, w.endCounts[order.Failed])
+		w.runners["r0"].failsAll = false
+		w.run(maxIdle)
+		require.Equal(t, work.Succeeded, w.store.state(j.ID))
+		require.Empty(t, w.violations)
+	}
+}
