cell: the limit of tasks on a runner holds in all occurrences

Cause: canRun compared the step of a run within its occurrence with the step counted through all occurrences.

Evidence: TestSpreadOfOccurrences: "occurrence 1 on r1: 2 is not less than or equal to 1" before; passes after. The order of runs on a runner now includes the occurrence, so that it is the same in each play.

--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -190,9 +190,9 @@
 		return false
 	}
 	if s.MaxPerRunner > 0 {
-		count := 0
-		for _, x := range r.sortedRuns() {
-			if x.key.task.Job == t.job.ID && x.key.task.Step == t.step {
+		count, id := 0, t.id()
+		for key := range r.runs {
+			if key.task.Job == id.Job && key.task.Occurrence == id.Occurrence && key.task.Step == id.Step {
 				count++
 			}
 		}
--- a/core/cell/kinds_test.go
+++ b/core/cell/kinds_test.go
@@ -235,3 +235,35 @@
 	w.run(5 * time.Second)
 	checkSettled(t, w)
 }
+
+// TestSpreadOfOccurrences guards against two tasks of a step on one runner, beyond the limit, from the
+// second occurrence of a job on: two larger runners, which take more than one, join meanwhile.
+func TestSpreadOfOccurrences(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 4, 32000)
+	w.takeOver()
+	w.run(time.Second)
+	j := newJob(1, false, plainStep(1), work.Step{Count: 4, CPU: 10000, Estimate: 800, MaxPerRunner: 1, After: []int{0}})
+	j.RepeatCount, j.FirstDue, j.Interval = 5, w.now.Add(time.Second).UnixMilli(), 2500
+	w.submit(j)
+	w.run(2 * time.Second)
+	for _, id := range []string{"r8", "r9"} {
+		w.join(id)
+		w.runners[id].cpu = 64000
+	}
+	w.updateDirectory()
+	for range 1200 {
+		w.run(10 * time.Millisecond)
+		for id, r := range w.runners {
+			spread := map[int]int{}
+			for task := range r.runs {
+				if task.Step == 1 {
+					spread[task.Occurrence]++
+					require.LessOrEqual(t, spread[task.Occurrence], 1, "occurrence %d on %s", task.Occurrence, id)
+				}
+			}
+		}
+	}
+	w.run(10 * time.Second)
+	checkSettled(t, w)
+}
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -81,7 +81,7 @@
 		list = append(list, x)
 	}
 	slices.SortFunc(list, func(a, b *run) int {
-		return cmp.Or(strings.Compare(a.key.task.Job, b.key.task.Job), cmp.Compare(a.key.task.Step, b.key.task.Step),
+		return cmp.Or(strings.Compare(a.key.task.Job, b.key.task.Job), cmp.Compare(a.key.task.Occurrence, b.key.task.Occurrence), cmp.Compare(a.key.task.Step, b.key.task.Step),
 			cmp.Compare(a.key.task.Index, b.key.task.Index), cmp.Compare(a.key.run, b.key.run))
 	})
 	return list
