cell: no room is kept for a gang that the runners cannot hold

Cause: reservesCapacity held back the jobs after any gang that waited, from shortly after its arrival until 3.7 s. It does so only if the runners that may run it can hold it once those of their runs have ended that do not last.

Evidence: TestGangWithoutRunners: a job of a second ago still "running" before; passes after. The other tests of gangs pass unchanged.

--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -223,10 +223,17 @@
 // willFitElsewhere reports whether runners on which t was not tried have the capacity for it, or for
 // its gang, now or once those of their runs have ended that do not last.
 func (c *Cell) willFitElsewhere(now time.Time, t *task, required Resources) bool {
-	places, members := 0, len(t.members())
+	return c.placesFor(now, t, required, t.triedOn) >= len(t.members())
+}
+
+// placesFor returns how many tasks like t, which take the resources required, fit on the runners that
+// may run it and for which except returns false, now or once those of their runs have ended that do
+// not last.
+func (c *Cell) placesFor(now time.Time, t *task, required Resources, except func(*runner) bool) int {
+	places := 0
 	for _, r := range c.sorted {
 		if r.Service != t.job.Queue.Service || !r.isListed(now) || r.Draining || !r.fenced || r.isSilent(now, c.Settings.SilenceTimeout) ||
-			(t.spec().RequiredLabel != "" && !slices.Contains(r.Labels, t.spec().RequiredLabel)) || !t.adviceAllows(now, r) || t.triedOn(r) {
+			(t.spec().RequiredLabel != "" && !slices.Contains(r.Labels, t.spec().RequiredLabel)) || !t.adviceAllows(now, r) || except(r) {
 			continue
 		}
 		n := r.Capacity.sub(r.usedByLasting()).capacityFor(required)
@@ -235,7 +242,7 @@
 		}
 		places += n
 	}
-	return places >= members
+	return places
 }
 
 // lastFailure returns when a run of t, or of another member of its gang, last failed; the arrival of
--- a/core/cell/gang.go
+++ b/core/cell/gang.go
@@ -130,14 +130,14 @@
 )
 
 // reservesCapacity reports whether the jobs after j must wait until a gang of j has
-// started.
+// started. There is nothing to wait for if the runners known now cannot hold it.
 func (c *Cell) reservesCapacity(now time.Time, j *job) bool {
 	if !j.hasGang {
 		return false
 	}
 	waiting := false
 	for s := range j.tasks {
-		if g := j.gang(s); g != nil && g.isReady() {
+		if g := j.gang(s); g != nil && g.isReady() && c.canHold(now, g) {
 			waiting = true
 		}
 	}
@@ -152,6 +152,11 @@
 	return waited > reserveAfter && waited < reserveDuration
 }
 
+// canHold reports whether the runners known now can hold all members of g, once they are free.
+func (c *Cell) canHold(now time.Time, g gang) bool {
+	return c.placesFor(now, g[0], requirements(g[0].spec()), func(*runner) bool { return false }) >= len(g)
+}
+
 // finishGang marks the other members of the gang of t as done when t has finished with
 // end e, since members end together. The ends of the others are not acknowledged before
 // the rows hold this, like that of t.
--- a/core/cell/kinds_test.go
+++ b/core/cell/kinds_test.go
@@ -267,3 +267,27 @@
 	w.run(10 * time.Second)
 	checkSettled(t, w)
 }
+
+// TestGangWithoutRunners guards against jobs that are held back for the sake of a gang which no runner
+// known can ever hold, since none has its label.
+func TestGangWithoutRunners(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 6, 32000)
+	w.takeOver()
+	w.run(time.Second)
+	step := gangStep(4, 100)
+	step.RequiredLabel = "nowhere"
+	g := newJob(1, false, step)
+	g.Queue.TargetLatency = 10
+	w.submit(g)
+	for i := range 60 {
+		j := newJob(i+2, false, work.Step{Count: 1, CPU: 2000, Estimate: 100})
+		w.submit(j)
+		w.run(100 * time.Millisecond)
+		if i >= 10 {
+			require.Equal(t, work.Succeeded, w.store.state(newJob(i-8, false).ID), "a job of a second ago")
+		}
+	}
+	require.Zero(t, w.endCounts[order.GangIncomplete])
+	require.Empty(t, w.violations)
+}
