scripts: the name and all output of each failed test

A test of core failed once beside load and its name was lost: unit.sh printed the last 150 lines of output, and those were of a package that passed. It now prints the package, name and whole output of each failed test, then of packages that failed without one, and the seed of the property tests.

Tried on a module with a failing test and subtest, 400 lines of other output, a panic and a package that does not build: all four are named with their output.

--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -61,7 +61,8 @@
   f=$(grep '"Action":"fail"' "$log" | grep -c '"Test":')
   if [ "$code" -ne 0 ]; then
     [ "$f" -gt 0 ] || f=1
-    grep -o '"Output":".*"' "$log" | sed -e 's/^"Output":"//' -e 's/"$//' -e 's/\\n$//' | tail -150
+    echo "property tests ran with -rapid.seed=$SEED"
+    awk -f scripts/failures.awk "$log"
     grep -v '^{' "$log"
   fi
   echo "$module: $p passed, $f failed"
