--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -296,7 +296,7 @@
 		} else if r.isListed(now) || r.handedOver {
 			allSynced = false
 		}
-		if r.endsTruncated && !r.synced && (r.isListed(now) || r.handedOver || len(r.runs) > 0) && !r.isSilent(now, c.Settings.longestLease()) {
+		if c.mayHideEnds(now, r) {
 			return
 		}
 	}
@@ -308,6 +308,12 @@
 	c.log("event", "inherited", "runners", synced, "all", allSynced, "known", known, "jobs", len(c.jobs))
 }
 
+// mayHideEnds reports whether r may have ended tasks without this holder knowing, since it has more
+// ends than it can list and its leases go on.
+func (c *Cell) mayHideEnds(now time.Time, r *runner) bool {
+	return r.endsTruncated && !r.synced && (r.isListed(now) || r.handedOver || len(r.runs) > 0) && !r.isSilent(now, c.Settings.longestLease())
+}
+
 // directorySet returns the fingerprint of the ids of the runners in the directory.
 func (c *Cell) directorySet() fingerprint.Set {
 	return fingerprint.Of(func(yield func(string) bool) {
--- a/core/cell/hold.go
+++ b/core/cell/hold.go
@@ -106,8 +106,7 @@
 		c.releaseLapsed(now, r)
 		return
 	}
-	if r.probeTicket == 0 && len(r.runs) > 0 && now.Sub(r.probeSent) > minRenewalInterval &&
-		time.Duration(r.maxDeadline-r.estimateClock(now))*time.Millisecond < c.Settings.Lease*9/20 {
+	if c.renewalDue(now, r) {
 		c.sendHold(now, r, 0)
 	}
 	if r.pollTicket == 0 && r.unansweredSince.IsZero() && !c.draining && c.canPoll(now, r) {
@@ -122,6 +121,12 @@
 	c.releaseLapsed(now, r)
 }
 
+// renewalDue reports whether the lease of r is to be renewed now.
+func (c *Cell) renewalDue(now time.Time, r *runner) bool {
+	return r.probeTicket == 0 && len(r.runs) > 0 && now.Sub(r.probeSent) > minRenewalInterval &&
+		time.Duration(r.maxDeadline-r.estimateClock(now))*time.Millisecond < c.Settings.Lease*9/20
+}
+
 // minRenewalInterval is the least time between two renewals of a lease that cannot be extended by
 // as much as usual.
 const minRenewalInterval = 40 * time.Millisecond
--- a/core/proxy/cancel_test.go
+++ b/core/proxy/cancel_test.go
@@ -16,9 +16,9 @@
 // rowStore is a store whose rows are all there.
 type rowStore struct{ value string }
 
-func (s rowStore) Read(_ context.Context, r table.Read) (table.Found, error) {
+func (s rowStore) Read(ctx context.Context, r table.Read) (table.Found, error) {
 	if s.value == "" || r.Keys[0] != "c0/jobs/j" {
-		return emptyStore{}.Read(nil, r)
+		return emptyStore{}.Read(ctx, r)
 	}
 	return table.Found{Rows: []table.Row{{Key: r.Keys[0], Version: 1, Value: []byte(s.value)}}}, nil
 }
