mirror: a read that runs out of time gets more

Cause: a read of rows had 0.7 s. A configuration of 1,067 routes does not arrive in that time when all instances read it at once over narrow links; each attempt was given up and began anew, so that the links stayed full and no instance had a configuration for good. The logs show it: "missed what=config ... context deadline exceeded" 557 times from the start on, and no "config".

Ruled out: election, plan and runners, see docs/incidents/review-recover.md.

The time-out doubles with each call that ran out of time, up to 10 s, and is at least twice what the last one took.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -9,12 +9,15 @@
 	"gypsumward/core/table"
 )
 
-// Defaults of Mirror. The delay before a retry doubles with every failure in a row.
+// Defaults of Mirror. The delay before a retry doubles with every failure in a row, and the time-out
+// with every call in a row that has run out of time: the rows may be too many for the link to carry
+// them in less, and a call that is given up has to begin anew.
 const (
 	DefaultWait       = time.Second
 	DefaultTimeout    = 700 * time.Millisecond
 	DefaultRetryDelay = 60 * time.Millisecond
 	maxRetryDelay     = 500 * time.Millisecond
+	maxTimeout        = 10 * time.Second
 )
 
 // Store is the part of the store that a Mirror uses.
@@ -28,7 +31,7 @@
 	Store   Store
 	Prefix  string
 	Wait    time.Duration // for which the store waits for a change; zero means DefaultWait
-	Timeout time.Duration // of a call, in addition to Wait; zero means DefaultTimeout
+	Timeout time.Duration // of a first call, in addition to Wait; zero means DefaultTimeout
 
 	// OnRows receives rows after every successful call: all rows if whole is true, otherwise
 	// those that have changed. A changed row of version zero was removed.
@@ -41,6 +44,7 @@
 	Refresh <-chan struct{}
 
 	after, through string // bounds of the keys, see Poller
+	timeout        timeout
 }
 
 // Run reads the rows and then watches them until ctx ends.
@@ -51,9 +55,16 @@
 	if m.Timeout == 0 {
 		m.Timeout = DefaultTimeout
 	}
+	m.timeout.reset(m.Timeout)
 	version, retryDelay := unread, DefaultRetryDelay
 	for ctx.Err() == nil {
+		began := time.Now()
 		next, err := m.advance(ctx, version)
+		took := time.Since(began)
+		if version != unread {
+			took -= m.Wait
+		}
+		m.timeout.record(took, err)
 		if err == nil {
 			version, retryDelay = next, DefaultRetryDelay
 			m.awaitNextCall(ctx)
@@ -96,7 +107,7 @@
 	if version == unread {
 		return m.readAll(ctx)
 	}
-	limited, cancel := context.WithTimeout(ctx, m.Wait+m.Timeout)
+	limited, cancel := context.WithTimeout(ctx, m.Wait+m.timeout.next)
 	defer cancel()
 	changes, err := m.Store.Watch(limited, table.Watch{Prefix: m.Prefix, After: version, Wait: span.Of(m.Wait)})
 	if err != nil || changes.HistoryLost {
@@ -113,7 +124,7 @@
 	version := unread
 	lastKey := m.after
 	for {
-		limited, cancel := context.WithTimeout(ctx, m.Timeout)
+		limited, cancel := context.WithTimeout(ctx, m.timeout.next)
 		found, err := m.Store.Scan(limited, table.Scan{Prefix: m.Prefix, After: lastKey, Through: m.through, Limit: table.MaxScanRows})
 		cancel()
 		if err != nil {
--- a/core/mirror/poller.go
+++ b/core/mirror/poller.go
@@ -14,7 +14,7 @@
 	Prefix  string
 	After   string        // keys up to this one are left out; empty for none
 	Through string        // keys after this one are left out; empty for none
-	Timeout time.Duration // of a call; zero means DefaultTimeout
+	Timeout time.Duration // of a first call; zero means DefaultTimeout
 
 	// Interval returns the poll interval. It is called after each poll.
 	Interval func() time.Duration
@@ -32,8 +32,11 @@
 	if m.Timeout == 0 {
 		m.Timeout = DefaultTimeout
 	}
+	m.timeout.reset(m.Timeout)
 	for ctx.Err() == nil {
+		began := time.Now()
 		_, err := m.readAll(ctx)
+		m.timeout.record(time.Since(began), err)
 		if err != nil && p.OnError != nil && ctx.Err() == nil {
 			p.OnError(err)
 		}
