--- a/core/cell/property_test.go
+++ b/core/cell/property_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"gypsumward/core/work"
 )
 
 // TestAnyFaults injects one to four faults, drawn at random, at random times under a load,
@@ -16,6 +18,10 @@
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(4, 8).Draw(t, "runners"), 32000)
 		w.endsPerReply = rapid.SampledFrom([]int{2, 10, 500}).Draw(t, "ends")
 		w.takeOver()
+		var lasting *work.Job
+		if rapid.Bool().Draw(t, "lasting") {
+			lasting = submitLasting(w)
+		}
 		load(w, rapid.IntRange(10, 80).Draw(t, "jobs"), 6*time.Second)
 		for range rapid.IntRange(1, 4).Draw(t, "faults") {
 			scenario := faultScenarios[rapid.IntRange(0, len(faultScenarios)-1).Draw(t, "fault")]
@@ -26,6 +32,9 @@
 		w.heal()
 		w.run(60 * time.Second)
 		require.Empty(t, w.violations)
+		if lasting != nil {
+			checkLasting(t, w, lasting)
+		}
 		checkSettled(t, w)
 	})
 }
