cell: no work for a restarted runner before its capacity is known

Callers saw nothing yet; the review suspected it by the code. A runner may come back under its id as a smaller one. It is known by its first answer, and its capacity by its entry in the directory, which is read later; in between tasks were started by the capacity of the former incarnation (LIMIT).

A runner now gets work only if the entry is not one of an earlier incarnation than that which answers.

--- a/core/cell/lost_test.go
+++ b/core/cell/lost_test.go
@@ -443,3 +443,25 @@
 		require.Equal(t, work.Succeeded, w.outcomes[j.ID].State)
 	}
 }
+
+// TestSmallerAfterRestart guards against starts beyond the capacity of a runner that has come back under
+// its id as a smaller one, before the directory says so.
+func TestSmallerAfterRestart(t *testing.T) {
+	t.Parallel()
+	for _, unlisted := range []time.Duration{100 * time.Millisecond, time.Second} {
+		w := newWorld(1, 2, 32000)
+		w.takeOver()
+		w.run(time.Second)
+		for i := range 40 {
+			w.submit(newJob(i+1, i%2 == 0, work.Step{Count: 4, CPU: 7000, Estimate: 300}))
+		}
+		w.run(time.Second)
+		r := w.runners["r0"]
+		r.restart()
+		r.cpu = 10000
+		w.after(unlisted, w.updateDirectory)
+		w.run(60 * time.Second)
+		require.Empty(t, w.violations)
+		checkSettled(t, w)
+	}
+}
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -116,6 +116,12 @@
 	return !r.inDirectory && !r.Draining && now.Sub(r.unlistedAt) < unlistedGrace
 }
 
+// capacityKnown reports whether the entry in the directory is not one of an earlier incarnation, which
+// may have been larger.
+func (r *runner) capacityKnown() bool {
+	return r.Incarnation == 0 || r.Incarnation >= r.incarnation
+}
+
 // isSilent reports whether an order has been without a reply for longer than limit.
 func (r *runner) isSilent(now time.Time, limit time.Duration) bool {
 	return !r.unansweredSince.IsZero() && now.Sub(r.unansweredSince) > limit
