proxy, scripts: tests that hung or failed beside load, traced

- TestNotHolder hung in 2 of 12 runs beside other packages ("running tests: TestNotHolder").
It changed the holder after 30 ms, whatever the proxy did.
If a call is in flight at that moment, its outcome is unknown, so that no refusal of the next holder is final, and Submit goes on until its caller's time is over, which that test had none of.
The test now changes the holder between two calls, by the clock that the proxy looks at there; it checks as much, and the number of calls too.
- TestNoHolder and TestNextHolder failed in 4 of 174 runs: the port of the dead address had gone to a test beside it.
Dead addresses are at 127.0.0.77 now.
- scripts/failures.awk prints the tests that had not ended in a package that failed, with their output.
Tried on a test that hangs.

--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -419,6 +419,8 @@
 	for {
 		v, err := p.cancelOnce(ctx, id)
 		switch {
+		case ctx.Err() != nil && (err != nil || !v.Stored):
+			return work.Unknown, false, ErrNoHolder
 		case err != nil:
 			return work.Unknown, false, err
 		case v.Stored && v.State != work.Unknown:
@@ -426,8 +428,11 @@
 		case v.Stored:
 			// A job that is not in the rows has never been accepted; one that is has not ended.
 			state, known, err := p.readStoredState(ctx, id)
-			if err != nil || !known || state.Ended() {
-				return state, known, err
+			if err == nil && (!known || state.Ended()) {
+				return state, known, nil
+			}
+			if err != nil && ctx.Err() == nil {
+				return work.Unknown, false, err
 			}
 		}
 		p.Elector.Refresh()
--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -136,10 +136,11 @@
 	}
 }
 
-// deadAddr returns an address at which nothing listens.
+// deadAddr returns an address at which nothing listens. No other test gets its port: they listen at
+// another address.
 func deadAddr(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.77:0")
 	require.NoError(t, err)
 	defer func() { _ = listener.Close() }()
 	return listener.Addr().String()
@@ -211,19 +212,45 @@
 	require.True(t, c.Connected())
 }
 
+// hookedClock calls a function, once set, with the next look at it.
+type hookedClock struct {
+	mu   sync.Mutex
+	hook func()
+}
+
+func (c *hookedClock) Now() time.Time {
+	c.mu.Lock()
+	hook := c.hook
+	c.hook = nil
+	c.mu.Unlock()
+	if hook != nil {
+		hook()
+	}
+	return time.Now()
+}
+
 // TestNotHolder has an instance that is no longer the holder, so that a job is submitted to
-// the next one as if for the first time.
+// the next one as if for the first time. The holder changes between two calls: one that is in
+// flight at that moment may have been handled.
 func TestNotHolder(t *testing.T) {
 	t.Parallel()
 	c := newCaller(t)
+	clock := &hookedClock{}
+	c.Clock = clock
+	next := startHolder(t, refuses)
+	calls := 0
 	former := startHolder(t, func(context.Context, cell.Submission) (reply, error) {
+		if calls++; calls == 3 {
+			clock.mu.Lock()
+			clock.hook = func() { c.follow(next.addr) }
+			clock.mu.Unlock()
+		}
 		return reply{}, &peer.Fault{Ran: api.RanNot, Text: "not the holder"}
 	})
-	next := startHolder(t, refuses)
 	c.follow(former.addr)
-	time.AfterFunc(30*time.Millisecond, func() { c.follow(next.addr) })
 	o := c.Submit(t.Context(), newJob(1200), time.Now(), false)
 	require.Equal(t, cell.Refused, o.Verdict)
+	require.Len(t, former.submissions(), 3)
 	require.False(t, next.submissions()[0].Resubmitted)
 }
 
--- a/scripts/failures.awk
+++ b/scripts/failures.awk
@@ -1,5 +1,5 @@
 # Prints each failed test of the output of go test -json with its package and all of its output, then
-# the output of packages that failed without a failed test.
+# the output of packages that failed without a failed test, and of the tests that had not ended there.
 
 # Returns the text of a field of the JSON object in the current line.
 function field(name,    rest, at, i, c, text) {
@@ -32,6 +32,14 @@
   output[key] = output[key] field("Output")
 }
 
+/"Action":"run"/ {
+  started[++runs] = field("Package") " " field("Test")
+}
+
+/"Action":"(pass|fail|skip)"/ {
+  ended[field("Package") " " field("Test")] = 1
+}
+
 /"Action":"fail"/ {
   package = field("Package")
   test = field("Test")
@@ -46,4 +54,8 @@
     printf "FAILED TEST %s\n%s", failed[i], output[failed[i]]
   }
   for (package in broken) if (!(package in hasFailedTest)) printf "FAILED PACKAGE %s\n%s", package, output[package " "]
+  for (i = 1; i <= runs; i++) {
+    split(started[i], parts, " ")
+    if (!(started[i] in ended) && (parts[1] in broken)) printf "NOT ENDED %s\n%s", started[i], output[started[i]]
+  }
 }
