--- a/core/cell/transaction.go
+++ b/core/cell/transaction.go
@@ -247,5 +247,10 @@
 		}
 	}
 	j.markPartsDue(ch.parts)
+	if len(ch.parts) == 0 && !ch.endsJob && j.row.stored {
+		for p := range j.row.parts { // rows of progress may be there too
+			j.row.parts[p].due = true
+		}
+	}
 	c.markDirty(j)
 }
--- a/core/eventloop/loop.go
+++ b/core/eventloop/loop.go
@@ -35,10 +35,6 @@
 // ErrTermOver is returned by calls to a Loop whose term is over.
 const ErrTermOver = errors.ConstError("the term is over")
 
-// ErrNotLoaded is returned for a question that only the rows of all jobs can answer, before they
-// have been read.
-const ErrNotLoaded = errors.ConstError("the rows have not been read yet")
-
 // ErrQueueFull is returned by calls that find the message queue full. Such a call has had
 // no effect.
 const ErrQueueFull = errors.ConstError("too many messages wait")
@@ -399,33 +395,6 @@
 	c.QueryState(now, m.id, func(s work.State) { m.reply <- s })
 }
 
-// Pending returns the number of jobs of a queue of which no task has started yet. Errors
-// are those of Submit, and ErrNotLoaded.
-func (l *Loop) Pending(ctx context.Context, queue string) (int, error) {
-	m := pendingMessage{queue: queue, reply: make(chan pendingCount, 1)}
-	count, err := request(ctx, l, m, m.reply)
-	if err == nil && !count.known {
-		err = ErrNotLoaded
-	}
-	return count.n, err
-}
-
-type pendingMessage struct {
-	queue string
-	reply chan pendingCount
-}
-
-// pendingCount is a number of pending jobs. Known is false if not all jobs are known.
-type pendingCount struct {
-	n     int
-	known bool
-}
-
-func (m pendingMessage) Apply(c *cell.Cell, _ time.Time) {
-	n, known := c.PendingJobs(m.queue)
-	m.reply <- pendingCount{n, known}
-}
-
 // request queues m, unless the queue is full, and waits for its reply. A reply that was
 // sent before the term ended is still returned.
 func request[T any](ctx context.Context, l *Loop, m cell.Message, reply <-chan T) (T, error) {
