--- a/core/cell/orphan_test.go
+++ b/core/cell/orphan_test.go
@@ -73,6 +73,33 @@
 	}
 }
 
+// TestOrphansSpareOthers guards against an orphaned run that is stopped so late that the lease of its
+// runner, which must not outlive the time of its caller, ends the other runs there too.
+func TestOrphansSpareOthers(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 1, 32000)
+	w.takeOver()
+	w.run(time.Second)
+	left := newJob(1, true, work.Step{Count: 1, CPU: 14000, Estimate: 60000})
+	stays := newJob(2, true, work.Step{Count: 1, CPU: 14000, Estimate: 60000})
+	w.submit(left)
+	w.submit(stays)
+	w.run(500 * time.Millisecond)
+	r := w.runners["r0"]
+	for r.leaseUntil-r.clock() < 900 { // so that the lease outlives the takeover
+		w.run(time.Millisecond)
+	}
+	w.callerWaits[left.ID] = false
+	w.holder().kill()
+	w.run(700 * time.Millisecond)
+	w.takeOver()
+	w.run(2 * time.Second)
+	require.Empty(t, w.violations)
+	require.Zero(t, w.endCounts[order.LeaseExpired])
+	require.Len(t, r.runs, 1)
+	require.Equal(t, 1, r.runs[work.Task{Job: stays.ID}].number, "the run of the job whose caller waits goes on")
+}
+
 // TestResubmittedWhileStopped guards against a second run of a transient task beside the first
 // one: the caller submits its job again while the new holder stops the runs that nobody had
 // claimed.
