mirror, platform, hosted: age and progress of reads, calls without a route

A missed read now logs age, timeout and received; read_age_seconds shows the age of each dependency; a request that no route matches logs the version that decided and its age, at most 20 lines a second. No logic is changed.

Tests: TestProgress, TestNoRoute in platform, TestAttempt in core/attempt.

--- a/core/election/elector.go
+++ b/core/election/elector.go
@@ -150,7 +150,7 @@
 				e.mu.Unlock()
 			}
 		},
-		OnError: func(error) {
+		OnError: func(mirror.Failure) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			e.watchHealthySince = time.Time{}
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"gypsumward/core/attempt"
 	"gypsumward/core/monotonic"
 	"gypsumward/core/span"
 	"gypsumward/core/table"
@@ -36,8 +37,8 @@
 	// OnRows receives rows after every successful call: all rows if whole is true, otherwise
 	// those that have changed. A changed row of version zero was removed.
 	OnRows func(rows []table.Row, whole bool)
-	// OnError is called with the error of each failed call. It may be nil.
-	OnError func(err error)
+	// OnError is called after each call that failed or was given up. It may be nil.
+	OnError func(f Failure)
 	// PollInterval returns the time to wait between a reply and the next call. It may be nil.
 	PollInterval func() time.Duration
 	// Refresh ends such a wait early. It may be nil.
@@ -45,6 +46,8 @@
 
 	after, through string // bounds of the keys, see Poller
 	timeout        timeout
+	lastRead       time.Time // time of the last successful call, or of the start of Run
+	call           *attempt.Attempt
 }
 
 // Run reads the rows and then watches them until ctx ends.
@@ -56,6 +59,7 @@
 		m.Timeout = DefaultTimeout
 	}
 	m.timeout.reset(m.Timeout)
+	m.lastRead = time.Now()
 	version, retryDelay := unread, DefaultRetryDelay
 	for ctx.Err() == nil {
 		began := time.Now()
@@ -64,20 +68,31 @@
 		if version != unread {
 			took -= m.Wait
 		}
+		limit := m.timeout.next
 		m.timeout.record(took, err)
 		if err == nil {
+			m.lastRead = time.Now()
 			version, retryDelay = next, DefaultRetryDelay
 			m.awaitNextCall(ctx)
 			continue
 		}
-		if m.OnError != nil && ctx.Err() == nil {
-			m.OnError(err)
+		if ctx.Err() == nil {
+			m.report(err, limit)
 		}
 		monotonic.Sleep(ctx, retryDelay)
 		retryDelay = min(2*retryDelay, maxRetryDelay)
 	}
 }
 
+// report reports that the last call failed.
+func (m *Mirror) report(err error, timeout time.Duration) {
+	if m.OnError == nil {
+		return
+	}
+	received, _ := m.call.Received()
+	m.OnError(Failure{Err: err, Age: time.Since(m.lastRead), Timeout: timeout, Received: received})
+}
+
 // awaitNextCall waits between a reply and the next call, as given by PollInterval
 // and Refresh.
 func (m *Mirror) awaitNextCall(ctx context.Context) {
@@ -107,7 +122,8 @@
 	if version == unread {
 		return m.readAll(ctx)
 	}
-	limited, cancel := context.WithTimeout(ctx, m.Wait+m.timeout.next)
+	m.call = &attempt.Attempt{}
+	limited, cancel := context.WithTimeout(m.call.WithContext(ctx), m.Wait+m.timeout.next)
 	defer cancel()
 	changes, err := m.Store.Watch(limited, table.Watch{Prefix: m.Prefix, After: version, Wait: span.Of(m.Wait)})
 	if err != nil || changes.HistoryLost {
@@ -124,7 +140,8 @@
 	version := unread
 	lastKey := m.after
 	for {
-		limited, cancel := context.WithTimeout(ctx, m.timeout.next)
+		m.call = &attempt.Attempt{}
+		limited, cancel := context.WithTimeout(m.call.WithContext(ctx), m.timeout.next)
 		found, err := m.Store.Scan(limited, table.Scan{Prefix: m.Prefix, After: lastKey, Through: m.through, Limit: table.MaxScanRows})
 		cancel()
 		if err != nil {
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -66,7 +66,7 @@
 	m := &mirror.Mirror{
 		Store: s, Prefix: "/op/",
 		OnRows:  func(rows []table.Row, all bool) { got = append(got, rows); whole = append(whole, all) },
-		OnError: func(error) { failures++ },
+		OnError: func(mirror.Failure) { failures++ },
 	}
 	m.Run(ctx)
 	require.Equal(t, []int64{5, 6, 6, 9, 9}, s.watchedFrom, "no change between the pages is missed")
--- a/core/mirror/poller.go
+++ b/core/mirror/poller.go
@@ -22,23 +22,28 @@
 	Refresh <-chan struct{}
 	// OnRows receives all rows after every successful poll; whole is always true.
 	OnRows func(rows []table.Row, whole bool)
-	// OnError is called with the error of each failed poll. It may be nil.
-	OnError func(err error)
+	// OnError is called after each poll that failed. It may be nil.
+	OnError func(f Failure)
 }
 
 // Run polls until ctx ends.
 func (p *Poller) Run(ctx context.Context) {
-	m := Mirror{Store: p.Store, Prefix: p.Prefix, Timeout: p.Timeout, OnRows: p.OnRows, after: p.After, through: p.Through}
+	m := Mirror{Store: p.Store, Prefix: p.Prefix, Timeout: p.Timeout, OnRows: p.OnRows, OnError: p.OnError, after: p.After, through: p.Through}
 	if m.Timeout == 0 {
 		m.Timeout = DefaultTimeout
 	}
 	m.timeout.reset(m.Timeout)
+	m.lastRead = time.Now()
 	for ctx.Err() == nil {
 		began := time.Now()
 		_, err := m.readAll(ctx)
+		limit := m.timeout.next
 		m.timeout.record(time.Since(began), err)
-		if err != nil && p.OnError != nil && ctx.Err() == nil {
-			p.OnError(err)
+		switch {
+		case err == nil:
+			m.lastRead = time.Now()
+		case ctx.Err() == nil:
+			m.report(err, limit)
 		}
 		t := time.NewTimer(p.Interval())
 		select {
--- a/core/notice/board.go
+++ b/core/notice/board.go
@@ -41,8 +41,10 @@
 	Log   log.Logger
 	// OnNotice is called with each notice that replaces an older one. It must not block.
 	OnNotice func(cell string, n election.Notice)
-	// OnError is called with the error of each failed read. It may be nil.
-	OnError func(err error)
+	// OnError is called after each failed read. It may be nil.
+	OnError func(f mirror.Failure)
+	// OnRead is called after each successful read. It may be nil.
+	OnRead func()
 
 	mu      sync.Mutex
 	loaded  bool
@@ -57,7 +59,15 @@
 
 // Run keeps the notices up to date until ctx ends.
 func (b *Board) Run(ctx context.Context) {
-	m := &mirror.Mirror{Store: b.Store, Prefix: Prefix, Wait: b.Wait, OnRows: b.apply, OnError: b.OnError}
+	m := &mirror.Mirror{
+		Store: b.Store, Prefix: Prefix, Wait: b.Wait, OnError: b.OnError,
+		OnRows: func(rows []table.Row, whole bool) {
+			b.apply(rows, whole)
+			if b.OnRead != nil {
+				b.OnRead()
+			}
+		},
+	}
 	m.Run(ctx)
 }
 
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -74,6 +74,10 @@
 	Interval func() time.Duration
 	// Refresh requests an immediate read by each value it delivers. It may be nil.
 	Refresh <-chan struct{}
+	// OnRead is called after each successful read. It may be nil.
+	OnRead func()
+	// OnError is called after each failed read. It may be nil.
+	OnError func(f mirror.Failure)
 
 	mu      sync.Mutex
 	members []election.Member
@@ -93,8 +97,13 @@
 func (r *Roster) Run(ctx context.Context) {
 	p := &mirror.Poller{
 		Store: r.Store, Prefix: Prefix, Interval: r.Interval, Refresh: r.Refresh,
-		OnRows:  func(rows []table.Row, _ bool) { r.removeExpired(ctx, r.apply(rows)) },
-		OnError: func(err error) { _ = r.Log.Log("event", "missed", "what", "members", "err", err) },
+		OnRows: func(rows []table.Row, _ bool) {
+			if r.OnRead != nil {
+				r.OnRead()
+			}
+			r.removeExpired(ctx, r.apply(rows))
+		},
+		OnError: r.OnError,
 	}
 	p.Run(ctx)
 }
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -87,6 +87,7 @@
 	roster       *roster.Roster
 	readMembers  chan struct{} // requests an immediate read of the members
 	wake         chan struct{} // makes supervise look at the cells
+	unmatched    *unmatched
 	draining     atomic.Bool
 	endRequests  context.CancelFunc // ends the contexts of all requests of clients
 	balanceAt    time.Time          // earliest time at which balance hands the next cell over
@@ -113,10 +114,11 @@
 	h.client = &peer.Client{
 		Clock: &hlc.Clock{}, MaxCalls: maxPeerCalls, PingInterval: peerHeartbeat, DialBackoff: 20 * time.Millisecond, Dial: dial,
 	}
+	h.unmatched = &unmatched{log: h.log, metrics: h.metrics}
 	h.stalls = &stall.Detector{Clock: h.clock, Log: h.log, Least: s.Retransmit / 2}
 	h.wake, h.readMembers = make(chan struct{}, 1), make(chan struct{}, 1)
-	h.board = &notice.Board{Store: h.store, Wait: noticeWait, Log: h.log, OnNotice: h.applyNotice, OnError: h.readFailed("notices")}
-	h.roster = &roster.Roster{Store: h.store, Self: h.self, Clock: h.clock, Log: h.log, Interval: h.membersInterval, Refresh: h.readMembers}
+	h.board = &notice.Board{Store: h.store, Wait: noticeWait, Log: h.log, OnNotice: h.applyNotice, OnRead: h.readDone(noticeReads), OnError: h.readFailed(noticeReads)}
+	h.roster = &roster.Roster{Store: h.store, Self: h.self, Clock: h.clock, Log: h.log, Interval: h.membersInterval, Refresh: h.readMembers, OnRead: h.readDone(memberReads), OnError: h.readFailed(memberReads)}
 	return h
 }
 
@@ -197,7 +199,7 @@
 	readyServer := khttp.NewServer(khttp.Address(settings.ReadyAddr), khttp.Timeout(0))
 	readyServer.HandlePrefix("/", http.HandlerFunc(h.serveReady))
 	ingressServer := khttp.NewServer(khttp.Address(settings.FrontAddr), khttp.Timeout(0))
-	ingressServer.HandlePrefix("/", &platform.Ingress{Jobs: jobService{h}, Configs: &h.configs, Draining: h.draining.Load, Delay: h.stalls.Delay})
+	ingressServer.HandlePrefix("/", &platform.Ingress{Jobs: jobService{h}, Configs: &h.configs, Draining: h.draining.Load, Delay: h.stalls.Delay, OnNoRoute: h.unmatched.record})
 	ingressServer.ReadHeaderTimeout = 5 * time.Second
 	ingressServer.IdleTimeout = time.Minute
 	metricsServer := khttp.NewServer(khttp.Address(net.JoinHostPort(settings.IP, metricsPort)), khttp.Timeout(0))
@@ -297,7 +299,7 @@
 func (h *Host) followRows(ctx context.Context, wg *sync.WaitGroup) {
 	configs := &mirror.Mirror{
 		Store: h.store, Prefix: platform.ConfigPrefix, Wait: time.Duration(configWaitShare * float64(h.settings.Current().ConfigApply)),
-		OnRows: h.applyConfig, OnError: h.readFailed("config"),
+		OnRows: h.applyConfig, OnError: h.readFailed(configReads),
 	}
 	wg.Go(func() { configs.Run(ctx) })
 	wg.Go(func() { h.roster.Register(ctx) })
@@ -318,17 +320,23 @@
 	return roster.ReadInterval(len(h.roster.Members()), h.cellsHeld() > 0)
 }
 
+// readDone returns a function that records a successful read of rows.
+func (h *Host) readDone(kind string) func() {
+	return func() { h.metrics.RecordRead(kind) }
+}
+
 // readFailed returns a function that counts and logs a failed read of rows.
-func (h *Host) readFailed(kind string) func(error) {
-	return func(err error) {
+func (h *Host) readFailed(kind string) func(mirror.Failure) {
+	return func(f mirror.Failure) {
 		h.metrics.Count("missed_"+kind, 1)
-		_ = h.log.Log("event", "missed", "what", kind, "err", err)
+		_ = h.log.Log(append([]any{"event", "missed", "what", kind}, f.KeyValues()...)...)
 	}
 }
 
 // applyConfig applies a changed configuration among the operator's rows. One that cannot
 // be decoded leaves the current one in force.
 func (h *Host) applyConfig(rows []table.Row, _ bool) {
+	h.metrics.RecordRead(configReads)
 	for _, r := range rows {
 		if r.Key != platform.ConfigKey || r.Version == 0 {
 			continue
--- a/gypsumward/hosted/metrics.go
+++ b/gypsumward/hosted/metrics.go
@@ -2,11 +2,22 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"gypsumward/core/monotonic"
+)
+
+// Dependencies whose last successful read is recorded.
+const (
+	configReads = "config"
+	noticeReads = "notices"
+	memberReads = "members"
+	runnerReads = "runners"
 )
 
 // metrics holds the metrics of an instance. It implements cell.Metrics.
@@ -16,6 +27,7 @@
 	durations *prometheus.HistogramVec
 	calls     *prometheus.CounterVec
 	bytes     *prometheus.CounterVec
+	lastReads map[string]*atomic.Int64 // nanoseconds of the monotonic clock, by dependency; zero before the first
 }
 
 func newMetrics() *metrics {
@@ -34,11 +46,36 @@
 		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "gypsumward", Name: "call_bytes_total", Help: "Lengths of the bodies of these calls, by name and direction.",
 		}, []string{"call", "direction"}),
+		lastReads: map[string]*atomic.Int64{},
+	}
+	for _, dependency := range []string{configReads, noticeReads, memberReads, runnerReads} {
+		last := &atomic.Int64{}
+		m.lastReads[dependency] = last
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: "gypsumward", Name: "read_age_seconds", ConstLabels: prometheus.Labels{"what": dependency},
+			Help: "Time since the last successful read of rows of the store; -1 before the first one.",
+		}, func() float64 { return readAge(last.Load()) }))
 	}
 	m.registry.MustRegister(m.counts, m.durations, m.calls, m.bytes, collectors.NewGoCollector())
 	return m
 }
 
+// readAge returns the seconds since a read at the given time of the monotonic clock in nanoseconds, or -1 if it is zero.
+func readAge(at int64) float64 {
+	if at == 0 {
+		return -1
+	}
+	return time.Duration(monotonic.Clock{}.Now().UnixNano() - at).Seconds()
+}
+
+// ReadAge returns the seconds since the last successful read of a dependency, or -1 if there was none.
+func (m *metrics) ReadAge(dependency string) float64 { return readAge(m.lastReads[dependency].Load()) }
+
+// RecordRead records a successful read of a dependency.
+func (m *metrics) RecordRead(dependency string) {
+	m.lastReads[dependency].Store(monotonic.Clock{}.Now().UnixNano())
+}
+
 // Count adds n to the counter of a kind of decision.
 func (m *metrics) Count(kind string, n int) { m.counts.WithLabelValues(kind).Add(float64(n)) }
 
