mirror, platform, hosted: a read adds calls instead of waiting longer

Callers saw: requests for a route that had been added were refused with 404, 2 s and more after the configuration was acknowledged (CONFIG), when the store had been silent for 5 s or more before.

Cause: the time-out of a read doubled with each call that ran out of time. The last call of an outage was waited for after its end, for as long as the whole outage had lasted: 7.3 s, of which 3.6 s with the store well again, after 12 s of silence. Class: recovery time that grows with the outage.

Now a call that receives nothing is followed by another one on a new connection, at a fixed interval, while the first is still waited for. A store that is slow answers the first; a store that is back answers the next. A response that arrives is left alone, however slowly it does. No state outlives a read. The time to wait for changes and the interval are derived from the time in which a configuration must be in force.

TestSlowRead and TestSlowPoll hold unchanged.

--- a/core/mirror/failure.go
+++ b/core/mirror/failure.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Failure describes a call that failed or was given up.
+// Failure describes a call that failed or has received nothing in time.
 type Failure struct {
 	Err      error
 	Age      time.Duration // since the last successful call, or since Run was called
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -2,25 +2,34 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
-	"gypsumward/core/attempt"
-	"gypsumward/core/monotonic"
 	"gypsumward/core/span"
 	"gypsumward/core/table"
 )
 
-// Defaults of Mirror. The delay before a retry doubles with every failure in a row, and the time-out
-// with every call in a row that has run out of time: the rows may be too many for the link to carry
-// them in less, and a call that is given up has to begin anew.
+// Defaults of Mirror. The delay before a retry doubles with every failure in a row.
 const (
 	DefaultWait       = time.Second
 	DefaultTimeout    = 700 * time.Millisecond
 	DefaultRetryDelay = 60 * time.Millisecond
 	maxRetryDelay     = 500 * time.Millisecond
-	maxTimeout        = 10 * time.Second
 )
 
+// Shares of a time within which a change must be read. The rest is for a further call and for the
+// response to arrive.
+const (
+	waitShare    = 0.4
+	timeoutShare = 0.2
+)
+
+// Intervals returns the values of Wait and Timeout with which a change is read within bound, also if
+// the connection is lost without a reset. A response must arrive in a fifth of bound.
+func Intervals(bound time.Duration) (wait, timeout time.Duration) {
+	return time.Duration(waitShare * float64(bound)), time.Duration(timeoutShare * float64(bound))
+}
+
 // Store is the part of the store that a Mirror uses.
 type Store interface {
 	Scan(ctx context.Context, s table.Scan) (table.Found, error)
@@ -32,7 +41,7 @@
 	Store   Store
 	Prefix  string
 	Wait    time.Duration // for which the store waits for a change; zero means DefaultWait
-	Timeout time.Duration // of a first call, in addition to Wait; zero means DefaultTimeout
+	Timeout time.Duration // for which nothing may arrive, beside Wait, until another call is made; zero means DefaultTimeout
 
 	// OnRows receives rows after every successful call: all rows if whole is true, otherwise
 	// those that have changed. A changed row of version zero was removed.
@@ -44,53 +53,46 @@
 	// Refresh ends such a wait early. It may be nil.
 	Refresh <-chan struct{}
 
-	after, through string // bounds of the keys, see Poller
-	timeout        timeout
+	after, through string    // bounds of the keys, see Poller
 	lastRead       time.Time // time of the last successful call, or of the start of Run
-	call           *attempt.Attempt
+	calls          sync.WaitGroup
 }
 
 // Run reads the rows and then watches them until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
+	defer m.calls.Wait()
+	m.begin()
+	version := unread
+	for {
+		got, ok := m.read(ctx, version, m.Wait)
+		if !ok {
+			return
+		}
+		m.lastRead = time.Now()
+		m.OnRows(got.rows, got.whole)
+		version = got.version
+		m.awaitNextCall(ctx)
+	}
+}
+
+// begin sets the defaults.
+func (m *Mirror) begin() {
 	if m.Wait == 0 {
 		m.Wait = DefaultWait
 	}
 	if m.Timeout == 0 {
 		m.Timeout = DefaultTimeout
 	}
-	m.timeout.reset(m.Timeout)
 	m.lastRead = time.Now()
-	version, retryDelay := unread, DefaultRetryDelay
-	for ctx.Err() == nil {
-		began := time.Now()
-		next, err := m.advance(ctx, version)
-		took := time.Since(began)
-		if version != unread {
-			took -= m.Wait
-		}
-		limit := m.timeout.next
-		m.timeout.record(took, err)
-		if err == nil {
-			m.lastRead = time.Now()
-			version, retryDelay = next, DefaultRetryDelay
-			m.awaitNextCall(ctx)
-			continue
-		}
-		if ctx.Err() == nil {
-			m.report(err, limit)
-		}
-		monotonic.Sleep(ctx, retryDelay)
-		retryDelay = min(2*retryDelay, maxRetryDelay)
-	}
 }
 
-// report reports that the last call failed.
-func (m *Mirror) report(err error, timeout time.Duration) {
+// report reports that a call failed or is quiet.
+func (m *Mirror) report(c *call, err error) {
 	if m.OnError == nil {
 		return
 	}
-	received, _ := m.call.Received()
-	m.OnError(Failure{Err: err, Age: time.Since(m.lastRead), Timeout: timeout, Received: received})
+	received, _ := c.attempt.Received()
+	m.OnError(Failure{Err: err, Age: time.Since(m.lastRead), Timeout: m.Timeout, Received: received})
 }
 
 // awaitNextCall waits between a reply and the next call, as given by PollInterval
@@ -115,47 +117,39 @@
 // unread stands for the version when the rows have to be read as a whole.
 const unread = int64(-1)
 
-// advance reads all rows if version is unread, and otherwise watches for changes after
-// version. It returns the version from which to continue, which is unread if the rows
-// have to be read again.
-func (m *Mirror) advance(ctx context.Context, version int64) (int64, error) {
+// advance reads all rows if version is unread or its history is lost, and otherwise the changes
+// after version, for which the store waits up to wait.
+func (m *Mirror) advance(ctx context.Context, version int64, wait time.Duration) reply {
 	if version == unread {
 		return m.readAll(ctx)
 	}
-	m.call = &attempt.Attempt{}
-	limited, cancel := context.WithTimeout(m.call.WithContext(ctx), m.Wait+m.timeout.next)
-	defer cancel()
-	changes, err := m.Store.Watch(limited, table.Watch{Prefix: m.Prefix, After: version, Wait: span.Of(m.Wait)})
-	if err != nil || changes.HistoryLost {
-		return unread, err
+	changes, err := m.Store.Watch(ctx, table.Watch{Prefix: m.Prefix, After: version, Wait: span.Of(wait)})
+	if err != nil {
+		return reply{err: err}
+	}
+	if changes.HistoryLost {
+		return m.readAll(ctx)
 	}
-	m.OnRows(changes.Rows, false)
-	return max(version, changes.Version), nil
+	return reply{rows: changes.Rows, version: max(version, changes.Version)}
 }
 
-// readAll reads all rows, page by page. It returns the version of the first page, so that
-// a watch from there misses no change made between the pages.
-func (m *Mirror) readAll(ctx context.Context) (int64, error) {
-	var rows []table.Row
-	version := unread
+// readAll reads all rows, page by page. The version is that of the first page, so that a watch from
+// there misses no change made between the pages.
+func (m *Mirror) readAll(ctx context.Context) reply {
+	all := reply{whole: true, version: unread}
 	lastKey := m.after
 	for {
-		m.call = &attempt.Attempt{}
-		limited, cancel := context.WithTimeout(m.call.WithContext(ctx), m.timeout.next)
-		found, err := m.Store.Scan(limited, table.Scan{Prefix: m.Prefix, After: lastKey, Through: m.through, Limit: table.MaxScanRows})
-		cancel()
+		found, err := m.Store.Scan(ctx, table.Scan{Prefix: m.Prefix, After: lastKey, Through: m.through, Limit: table.MaxScanRows})
 		if err != nil {
-			return unread, err
+			return reply{err: err}
 		}
-		if version == unread {
-			version = found.Version
+		if all.version == unread {
+			all.version = found.Version
 		}
-		rows = append(rows, found.Rows...)
+		all.rows = append(all.rows, found.Rows...)
 		if !found.Truncated || len(found.Rows) == 0 {
-			break
+			return all
 		}
 		lastKey = found.Rows[len(found.Rows)-1].Key
 	}
-	m.OnRows(rows, true)
-	return version, nil
 }
--- a/core/mirror/outage_test.go
+++ b/core/mirror/outage_test.go
@@ -90,3 +90,115 @@
 		synctest.Wait()
 	})
 }
+
+// TestChangeReadAfterSilentConnection guards against a configuration that is late since the connection
+// of the watch went silent without an outage of the store, and the one after it too.
+func TestChangeReadAfterSilentConnection(t *testing.T) {
+	t.Parallel()
+	for _, bound := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			s := &outage.Store{}
+			onRows, read := newestVersion()
+			wait, timeout := mirror.Intervals(bound)
+			m := &mirror.Mirror{Store: s, Prefix: "/op/", OnRows: onRows, Wait: wait, Timeout: timeout}
+			go m.Run(ctx)
+			time.Sleep(bound)
+			for age := time.Duration(0); age < 2*bound; age += bound / 8 {
+				time.Sleep(age)
+				synctest.Wait()
+				s.Disturb(outage.Silent)
+				synctest.Wait()
+				s.Disturb(outage.None)
+				version := s.Set("/op/config", nil)
+				time.Sleep(wait + timeout/2)
+				s.Disturb(outage.Silent)
+				time.Sleep(timeout)
+				s.Disturb(outage.None)
+				time.Sleep(bound - wait - 3*timeout/2)
+				synctest.Wait()
+				require.Equal(t, version, read(), "bound %v, %v after the last one", bound, age)
+			}
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
+
+// TestSlowTransfer checks that a response which arrives slowly is neither given up nor asked for again.
+func TestSlowTransfer(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		const transfer = 6 * time.Second
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &outage.Store{Transfer: transfer}
+		version := s.Set("/op/config", nil)
+		onRows, read := newestVersion()
+		failures := 0
+		m := &mirror.Mirror{Store: s, Prefix: "/op/", OnRows: onRows, OnError: func(mirror.Failure) { failures++ }}
+		go m.Run(ctx)
+		time.Sleep(transfer)
+		synctest.Wait()
+		require.Equal(t, version, read())
+		require.Zero(t, failures)
+		require.Equal(t, 2, s.Calls(), "the read, and the watch after it")
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestLargestRowsOverNarrowLink guards against reads that fill a link for nothing: all readers start at
+// once, and again after half a minute of silence, and the link carries one response in a second.
+func TestLargestRowsOverNarrowLink(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		const readers = 8
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &outage.Store{Transfer: time.Second}
+		s.Set("/op/config", nil)
+		var reads []func() int64
+		for range readers {
+			onRows, read := newestVersion()
+			reads = append(reads, read)
+			go (&mirror.Mirror{Store: s, Prefix: "/op/", OnRows: onRows}).Run(ctx)
+		}
+		for range 3 {
+			version := s.Set("/op/config", nil)
+			time.Sleep(2*readers*s.Transfer + applyBound)
+			for _, read := range reads {
+				require.Equal(t, version, read())
+			}
+			s.Disturb(outage.Silent)
+			time.Sleep(30 * time.Second)
+			s.Disturb(outage.None)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestFailure checks what is told of a call that receives nothing.
+func TestFailure(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &outage.Store{}
+		var first mirror.Failure
+		m := &mirror.Mirror{Store: s, Prefix: "/op/", OnRows: func([]table.Row, bool) {}, OnError: func(f mirror.Failure) {
+			if first.Err == nil {
+				first = f
+			}
+		}}
+		go m.Run(ctx)
+		time.Sleep(500 * time.Millisecond)
+		s.Disturb(outage.Silent)
+		time.Sleep(4 * time.Second)
+		cancel()
+		synctest.Wait()
+		require.ErrorContains(t, first.Err, "no response")
+		require.Equal(t, mirror.DefaultWait+mirror.DefaultTimeout, first.Age)
+		require.Equal(t, mirror.DefaultTimeout, first.Timeout)
+		require.Zero(t, first.Received)
+		require.Len(t, first.KeyValues(), 8)
+	})
+}
--- a/core/mirror/poller.go
+++ b/core/mirror/poller.go
@@ -14,9 +14,9 @@
 	Prefix  string
 	After   string        // keys up to this one are left out; empty for none
 	Through string        // keys after this one are left out; empty for none
-	Timeout time.Duration // of a first call; zero means DefaultTimeout
+	Timeout time.Duration // for which nothing may arrive until another call is made; zero means DefaultTimeout
 
-	// Interval returns the poll interval. It is called after each poll.
+	// Interval returns the poll interval. It is called after each successful poll; a failed one is repeated at once.
 	Interval func() time.Duration
 	// Refresh requests an immediate poll by each value it delivers. It may be nil.
 	Refresh <-chan struct{}
@@ -29,22 +29,15 @@
 // Run polls until ctx ends.
 func (p *Poller) Run(ctx context.Context) {
 	m := Mirror{Store: p.Store, Prefix: p.Prefix, Timeout: p.Timeout, OnRows: p.OnRows, OnError: p.OnError, after: p.After, through: p.Through}
-	if m.Timeout == 0 {
-		m.Timeout = DefaultTimeout
-	}
-	m.timeout.reset(m.Timeout)
-	m.lastRead = time.Now()
-	for ctx.Err() == nil {
-		began := time.Now()
-		_, err := m.readAll(ctx)
-		limit := m.timeout.next
-		m.timeout.record(time.Since(began), err)
-		switch {
-		case err == nil:
-			m.lastRead = time.Now()
-		case ctx.Err() == nil:
-			m.report(err, limit)
+	defer m.calls.Wait()
+	m.begin()
+	for {
+		got, ok := m.read(ctx, unread, 0)
+		if !ok {
+			return
 		}
+		m.lastRead = time.Now()
+		m.OnRows(got.rows, got.whole)
 		t := time.NewTimer(p.Interval())
 		select {
 		case <-t.C:
--- a/core/outage/store.go
+++ b/core/outage/store.go
@@ -34,8 +34,11 @@
 	ErrBusy  = errors.ConstError("busy")
 )
 
-// chunks is the number of parts in which a response arrives.
-const chunks = 10
+// chunks is the number of parts, of chunkSize bytes each, in which a response arrives.
+const (
+	chunks    = 10
+	chunkSize = 32 << 10
+)
 
 // Store is a store of rows in memory. The zero value is empty and undisturbed. It is safe for
 // concurrent use.
@@ -249,7 +252,7 @@
 		if err := sleep(ctx, d); err != nil {
 			return err
 		}
-		attempt.From(ctx).Receive(1)
+		attempt.From(ctx).Receive(chunkSize)
 	}
 	return nil
 }
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -63,10 +63,6 @@
 	membersPlanning  = time.Second     // between two reads of the members while this instance makes a plan
 )
 
-// configWaitShare is the share of the time within which a configuration must be in force
-// that the store waits for a change. The rest is for a watch whose connection is lost.
-const configWaitShare = 0.75
-
 // Host is one entry instance on the users' platform.
 type Host struct {
 	settings     *reload.Follower
@@ -297,8 +293,9 @@
 
 // followRows starts reading the rows of the operator and of the runners.
 func (h *Host) followRows(ctx context.Context, wg *sync.WaitGroup) {
+	wait, timeout := mirror.Intervals(h.settings.Current().ConfigApply)
 	configs := &mirror.Mirror{
-		Store: h.store, Prefix: platform.ConfigPrefix, Wait: time.Duration(configWaitShare * float64(h.settings.Current().ConfigApply)),
+		Store: h.store, Prefix: platform.ConfigPrefix, Wait: wait, Timeout: timeout,
 		OnRows: h.applyConfig, OnError: h.readFailed(configReads),
 	}
 	wg.Go(func() { configs.Run(ctx) })
