roster: an instance is registered soon after an outage

Seen by a test, not by callers: an instance that starts while the store is away was unknown to the others for up to 5 s after its return, so that no plan counted it and no holder chose it as a standby.

TestRegisterSoonAfterOutage failed before, after 5 s of silence.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -22,7 +22,7 @@
 const (
 	writeTimeout = 700 * time.Millisecond
 	minBackoff   = 100 * time.Millisecond
-	maxBackoff   = 5 * time.Second
+	maxBackoff   = time.Second
 )
 
 // An instance writes its row again at least once per refreshInterval. A row that does not
