--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -75,6 +75,16 @@
 	}
 }
 
+// read reads the rows, or their changes after version, for which the store waits up to wait. Ok is
+// false if ctx ends first.
+func (m *Mirror) read(ctx context.Context, version int64, wait time.Duration) (got reply, ok bool) {
+	r := &race{
+		ctx: ctx, timeout: m.Timeout, report: m.report, calls: &m.calls,
+		perform: func(ctx context.Context, wait time.Duration) reply { return m.advance(ctx, version, wait) },
+	}
+	return r.run(wait)
+}
+
 // begin sets the defaults.
 func (m *Mirror) begin() {
 	if m.Wait == 0 {
--- a/core/mirror/race.go
+++ b/core/mirror/race.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -27,7 +28,8 @@
 	call    *call
 	rows    []table.Row
 	whole   bool
-	version int64 // from which to continue
+	version int64       // from which to continue
+	page    table.Found // of Page
 	err     error
 }
 
@@ -58,9 +60,12 @@
 // store is slow, and one of the others soon after the store is back. Nothing is carried over from one
 // read to the next, so that the length of an outage does not matter after its end.
 type race struct {
-	mirror  *Mirror
 	ctx     context.Context
-	version int64
+	timeout time.Duration                                       // without a byte until another call is made
+	perform func(ctx context.Context, wait time.Duration) reply // makes a call
+	report  func(c *call, err error)                            // reports a call that failed or is quiet; may be nil
+	calls   *sync.WaitGroup
+
 	older   *call
 	newer   *call // nil unless older is quiet
 	replies chan reply
@@ -70,15 +75,16 @@
 	retryDelay time.Duration
 }
 
-// read reads the rows, or their changes after version, for which the store waits up to wait. It
-// makes calls until one succeeds. Ok is false if ctx ends first.
-func (m *Mirror) read(ctx context.Context, version int64, wait time.Duration) (got reply, ok bool) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	r := &race{
-		mirror: m, ctx: ctx, version: version, retryDelay: DefaultRetryDelay,
-		replies: make(chan reply), signs: make(chan struct{}, 1),
+// run makes calls until one succeeds. The store may wait for changes in the first one, up to wait.
+// Ok is false if the context ends first.
+func (r *race) run(wait time.Duration) (got reply, ok bool) {
+	if r.ctx.Err() != nil {
+		return reply{}, false
 	}
+	ctx, cancel := context.WithCancel(r.ctx)
+	defer cancel()
+	r.ctx, r.retryDelay = ctx, DefaultRetryDelay
+	r.replies, r.signs = make(chan reply), make(chan struct{}, 1)
 	r.older = r.start(wait, false)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -103,9 +109,9 @@
 func (r *race) start(wait time.Duration, redial bool) *call {
 	ctx, cancel := context.WithCancel(r.ctx)
 	c := &call{cancel: cancel, due: time.Now().Add(wait), attempt: &attempt.Attempt{Redial: redial, OnReceive: r.notify}}
-	r.mirror.calls.Go(func() {
+	r.calls.Go(func() {
 		defer cancel()
-		got := r.mirror.advance(c.attempt.WithContext(ctx), r.version, wait)
+		got := r.perform(c.attempt.WithContext(ctx), wait)
 		got.call = c
 		select {
 		case r.replies <- got:
@@ -115,6 +121,13 @@
 	return c
 }
 
+// tell reports a call that failed or is quiet.
+func (r *race) tell(c *call, err error) {
+	if r.report != nil {
+		r.report(c, err)
+	}
+}
+
 // notify makes the race look at the bytes that have arrived.
 func (r *race) notify() {
 	select {
@@ -134,7 +147,7 @@
 // next returns when the next call is due if nothing arrives.
 func (r *race) next() time.Time {
 	if c := r.newest(); c != nil {
-		if at := c.lastSign().Add(r.mirror.Timeout); at.After(r.notBefore) {
+		if at := c.lastSign().Add(r.timeout); at.After(r.notBefore) {
 			return at
 		}
 	}
@@ -148,13 +161,13 @@
 	}
 	redial := r.newest() != nil
 	if r.newer != nil {
-		r.mirror.report(r.newer, errQuiet)
+		r.tell(r.newer, errQuiet)
 		r.newer.cancel()
 		r.newer = nil
 	}
 	if r.older != nil && !r.older.quiet {
 		r.older.quiet = true
-		r.mirror.report(r.older, errQuiet)
+		r.tell(r.older, errQuiet)
 	}
 	if r.older != nil && now.Sub(r.older.lastSign()) >= patience {
 		r.older.cancel()
@@ -195,7 +208,7 @@
 	if got.err == nil {
 		return true
 	}
-	r.mirror.report(got.call, got.err)
+	r.tell(got.call, got.err)
 	r.notBefore = time.Now().Add(r.retryDelay)
 	r.retryDelay = min(2*r.retryDelay, maxRetryDelay)
 	return false
--- a/core/outage/store.go
+++ b/core/outage/store.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -11,18 +9,19 @@
 
 	"gypsumward/core/attempt"
 	"gypsumward/core/table"
+	"gypsumward/core/table/memstore"
 )
 
 // Mode is the way in which a Store is disturbed.
 type Mode string
 
-// The modes. The calls that a disturbance hits fail by it also after its end.
+// The modes. A call that a disturbance hits does not recover at its end.
 const (
 	None   Mode = ""
-	Silent Mode = "silent" // calls get no response
-	Reset  Mode = "reset"  // calls fail at once, and those that wait when the disturbance begins
-	Busy   Mode = "busy"   // new calls fail at once and have no effect
-	Slow   Mode = "slow"   // responses take SlowTime
+	Silent Mode = "silent" // calls get no response, also those that wait when the disturbance begins
+	Reset  Mode = "reset"  // calls fail at once, also those that wait when the disturbance begins
+	Busy   Mode = "busy"   // new calls fail at once
+	Slow   Mode = "slow"   // responses to new calls take SlowTime
 )
 
 // SlowTime is the time that a response takes in mode Slow.
@@ -34,27 +33,31 @@
 	ErrBusy  = errors.ConstError("busy")
 )
 
-// chunks is the number of parts, of chunkSize bytes each, in which a response arrives.
+// A response with rows arrives in parts.
 const (
 	chunks    = 10
-	chunkSize = 32 << 10
+	chunkSize = 32 << 10 // bytes
 )
 
-// Store is a store of rows in memory. The zero value is empty and undisturbed. It is safe for
-// concurrent use.
+// Store is a store of rows in memory whose calls can be disturbed. The zero value is empty and
+// undisturbed. It is safe for concurrent use.
 type Store struct {
 	// Transfer is the time in which a response with rows arrives, in parts, if it has the link for
 	// itself. It must be set before use.
 	Transfer time.Duration
 
-	mu        sync.Mutex
-	mode      Mode
-	disturbed chan struct{} // closed when a disturbance begins; nil if nothing waits for it
-	changed   chan struct{} // closed at the next write; nil if nothing waits for it
-	rows      map[string]table.Row
-	version   int64
-	sending   int // responses that share the link
-	calls     int
+	rows    memstore.Store
+	mu      sync.Mutex
+	mode    Mode
+	waiting map[*waiter]bool
+	sending int // responses that share the link
+	calls   int
+}
+
+// waiter is a call that waits for a change.
+type waiter struct {
+	cancel context.CancelFunc
+	hit    Mode // of the disturbance that ended the wait
 }
 
 // Disturb puts the store into a mode. None ends a disturbance.
@@ -62,9 +65,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.mode = m
-	if s.disturbed != nil {
-		close(s.disturbed)
-		s.disturbed = nil
+	if m != Silent && m != Reset {
+		return
+	}
+	for w := range s.waiting {
+		w.hit = m
+		w.cancel()
 	}
 }
 
@@ -75,90 +81,70 @@
 	return s.calls
 }
 
-// Set writes a row, whatever the mode, and returns its version.
+// Set writes a row, whatever the mode, and returns its version. It panics if the row cannot be
+// written.
 func (s *Store) Set(key string, value []byte) int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.set(key, value)
-}
-
-func (s *Store) set(key string, value []byte) int64 {
-	if s.rows == nil {
-		s.rows = map[string]table.Row{}
-	}
-	s.version++
-	s.rows[key] = table.Row{Key: key, Version: s.version, Value: value}
-	if s.changed != nil {
-		close(s.changed)
-		s.changed = nil
+	written, err := s.rows.Write(context.Background(), table.Write{Ops: []table.Op{{Key: key, IfVersion: table.AnyVersion, Value: value}}})
+	if err != nil {
+		panic("outage: " + err.Error())
 	}
-	return s.version
+	return written.Version
 }
 
-// Write runs one transaction. The conditions of its operations are checked.
+// Write implements the store's call of the same name.
 func (s *Store) Write(ctx context.Context, w table.Write) (table.Written, error) {
 	if err := s.begin(ctx); err != nil {
 		return table.Written{}, err
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var written table.Written
-	for _, op := range w.Ops {
-		if op.IfVersion != table.AnyVersion && s.rows[op.Key].Version != op.IfVersion {
-			written.Conflicts = append(written.Conflicts, table.Row{Key: op.Key, Version: s.rows[op.Key].Version, Value: s.rows[op.Key].Value})
-		}
-	}
-	if len(written.Conflicts) > 0 {
-		return written, nil
-	}
-	for _, op := range w.Ops {
-		switch {
-		case op.CheckOnly:
-		case op.Delete:
-			delete(s.rows, op.Key)
-		default:
-			s.set(op.Key, op.Value)
-		}
-	}
-	return table.Written{Committed: true, Version: s.version}, nil
+	return s.rows.Write(ctx, w)
 }
 
-// Scan returns all rows with a prefix. It ignores the limit and the bounds of q.
+// Scan implements the store's call of the same name. It returns all rows at once.
 func (s *Store) Scan(ctx context.Context, q table.Scan) (table.Found, error) {
 	if err := s.begin(ctx); err != nil {
 		return table.Found{}, err
 	}
-	rows, version := s.since(q.Prefix, 0)
-	return table.Found{Rows: rows, Version: version}, s.send(ctx, len(rows) > 0)
+	found, err := s.rows.Scan(ctx, q)
+	if err != nil {
+		return found, err
+	}
+	return found, s.send(ctx, len(found.Rows) > 0)
 }
 
-// Watch returns the rows that have changed, as soon as there are any.
-func (s *Store) Watch(ctx context.Context, w table.Watch) (table.WatchResult, error) {
+// Watch implements the store's call of the same name.
+func (s *Store) Watch(ctx context.Context, q table.Watch) (table.WatchResult, error) {
 	if err := s.begin(ctx); err != nil {
 		return table.WatchResult{}, err
 	}
-	end := time.NewTimer(w.Wait.Duration())
-	defer end.Stop()
-	for waiting := true; waiting; {
-		rows, _ := s.since(w.Prefix, w.After)
-		if len(rows) > 0 {
-			break
-		}
-		disturbed, changed := s.events()
-		select {
-		case <-changed:
-		case <-disturbed:
-			if err := s.disturbance(ctx); err != nil {
-				return table.WatchResult{}, err
-			}
-		case <-end.C:
-			waiting = false
-		case <-ctx.Done():
-			return table.WatchResult{}, ctx.Err()
-		}
+	waitCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w := &waiter{cancel: cancel}
+	s.setWaiting(w, true)
+	changes, err := s.rows.Watch(waitCtx, q)
+	s.setWaiting(w, false)
+	switch {
+	case w.hit == Silent:
+		<-ctx.Done()
+		return table.WatchResult{}, ctx.Err()
+	case w.hit == Reset:
+		return table.WatchResult{}, ErrReset
+	case err != nil:
+		return table.WatchResult{}, err
+	}
+	return changes, s.send(ctx, len(changes.Rows) > 0)
+}
+
+func (s *Store) setWaiting(w *waiter, waits bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiting == nil {
+		s.waiting = map[*waiter]bool{}
+	}
+	if waits {
+		s.waiting[w] = true
+	} else {
+		delete(s.waiting, w)
 	}
-	rows, version := s.since(w.Prefix, w.After)
-	return table.WatchResult{Rows: rows, Version: version}, s.send(ctx, len(rows) > 0)
 }
 
 // begin counts a call and returns the error that the mode causes.
@@ -170,7 +156,6 @@
 	switch mode {
 	case Silent:
 		<-ctx.Done()
-		return ctx.Err()
 	case Reset:
 		return ErrReset
 	case Busy:
@@ -182,49 +167,6 @@
 	return ctx.Err()
 }
 
-// disturbance returns the error of a waiting call when a disturbance begins.
-func (s *Store) disturbance(ctx context.Context) error {
-	s.mu.Lock()
-	mode := s.mode
-	s.mu.Unlock()
-	switch mode {
-	case Silent:
-		<-ctx.Done()
-		return ctx.Err()
-	case Reset:
-		return ErrReset
-	case None, Busy, Slow:
-	}
-	return nil
-}
-
-// events returns channels that are closed at the next disturbance and the next write.
-func (s *Store) events() (disturbed, changed <-chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.disturbed == nil {
-		s.disturbed = make(chan struct{})
-	}
-	if s.changed == nil {
-		s.changed = make(chan struct{})
-	}
-	return s.disturbed, s.changed
-}
-
-// since returns the rows with a prefix that are newer than a version, and the newest version.
-func (s *Store) since(prefix string, after int64) ([]table.Row, int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var rows []table.Row
-	for key, r := range s.rows {
-		if strings.HasPrefix(key, prefix) && r.Version > after {
-			rows = append(rows, r)
-		}
-	}
-	slices.SortFunc(rows, func(a, b table.Row) int { return strings.Compare(a.Key, b.Key) })
-	return rows, s.version
-}
-
 // send transfers a response over the link that all calls share. Nothing arrives while the store is
 // silent, and a response that this interrupts is not continued.
 func (s *Store) send(ctx context.Context, large bool) error {
@@ -232,18 +174,11 @@
 		attempt.From(ctx).Receive(1)
 		return nil
 	}
-	s.mu.Lock()
-	s.sending++
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		s.sending--
-		s.mu.Unlock()
-	}()
+	s.addSending(1)
+	defer s.addSending(-1)
 	for range chunks {
 		s.mu.Lock()
-		d := s.Transfer * time.Duration(s.sending) / chunks
-		silent := s.mode == Silent
+		d, silent := s.Transfer*time.Duration(s.sending)/chunks, s.mode == Silent
 		s.mu.Unlock()
 		if silent {
 			<-ctx.Done()
@@ -257,6 +192,12 @@
 	return nil
 }
 
+func (s *Store) addSending(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sending += n
+}
+
 // sleep waits for d and returns the error of ctx if it ends first.
 func sleep(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
