eventloop, mirror: a page of rows that arrives slowly is not given up

Seen by a test, not by callers: a new holder whose rows take more than 0.8 s a page read the same page again and again and never knew its jobs; all calls of the cell were answered with 503.

Pages are now read by mirror.Page, which gives up nothing that arrives and tries a new connection where nothing does.

TestLoadOverNarrowLink failed before: the rows have not been read yet.

--- a/core/eventloop/loop.go
+++ b/core/eventloop/loop.go
@@ -12,6 +12,7 @@
 	"gypsumward/core/cell"
 	"gypsumward/core/election"
 	"gypsumward/core/fingerprint"
+	"gypsumward/core/mirror"
 	"gypsumward/core/monotonic"
 	"gypsumward/core/order"
 	"gypsumward/core/overload"
@@ -22,14 +23,13 @@
 
 // Sizes, intervals and timeouts of a Loop.
 const (
-	messageQueueSize  = 8192
-	tickInterval      = 20 * time.Millisecond
-	storeTimeout      = 800 * time.Millisecond
-	orderTimeout      = 1500 * time.Millisecond
-	pageSize          = 500
-	scanRetryInterval = 30 * time.Millisecond
-	endsPageInterval  = time.Second // between pages of ended jobs
-	maxQueuedBatch    = 256         // queued messages applied before the cell settles
+	messageQueueSize = 8192
+	tickInterval     = 20 * time.Millisecond
+	storeTimeout     = 800 * time.Millisecond
+	orderTimeout     = 1500 * time.Millisecond
+	pageSize         = 500
+	endsPageInterval = time.Second // between pages of ended jobs
+	maxQueuedBatch   = 256         // queued messages applied before the cell settles
 )
 
 // ErrTermOver is returned by calls to a Loop whose term is over.
@@ -238,16 +238,7 @@
 // scanPage reads one page of rows with a prefix and keys greater than after, retrying
 // until it succeeds. It returns false if ctx ends first.
 func (l *Loop) scanPage(ctx context.Context, prefix, after string) (table.Found, bool) {
-	for ctx.Err() == nil {
-		limited, cancel := context.WithTimeout(ctx, storeTimeout)
-		found, err := l.Store.Scan(limited, table.Scan{Prefix: prefix, After: after, Limit: pageSize})
-		cancel()
-		if err == nil {
-			return found, true
-		}
-		monotonic.Sleep(ctx, scanRetryInterval)
-	}
-	return table.Found{}, false
+	return mirror.Page(ctx, l.Store, table.Scan{Prefix: prefix, After: after, Limit: pageSize}, mirror.DefaultTimeout)
 }
 
 // loadMessage carries the rows of the jobs of the cell and of their progress.
