notice, hosted: a holder publishes until its notice is written

Publish now reports whether the notice stands, and the holder goes on for as long as it holds the cell.

TestPublishReportsFailure; it does not compile against the code before.

--- a/core/notice/board.go
+++ b/core/notice/board.go
@@ -120,9 +120,9 @@
 	}
 }
 
-// Publish writes a notice of a cell, retrying until it is written, a notice of a later
-// epoch is there or ctx ends.
-func (b *Board) Publish(ctx context.Context, cell string, n election.Notice) {
+// Publish writes a notice of a cell, retrying until it is written or a notice of a later
+// epoch is there. It returns false if ctx ends first.
+func (b *Board) Publish(ctx context.Context, cell string, n election.Notice) bool {
 	value, err := json.Marshal(n)
 	if err != nil {
 		panic(encodePanic + err.Error())
@@ -133,7 +133,7 @@
 		current := b.entries[cell]
 		b.mu.Unlock()
 		if current.notice.Epoch > n.Epoch {
-			return
+			return true
 		}
 		limited, cancel := context.WithTimeout(ctx, writeTimeout)
 		written, err := b.Store.Write(limited, table.Write{Ops: []table.Op{{Key: key, IfVersion: current.version, Value: value}}})
@@ -143,11 +143,12 @@
 			monotonic.Sleep(ctx, backoff)
 		case written.Committed:
 			b.apply([]table.Row{{Key: key, Version: written.Version, Value: value}}, false)
-			return
+			return true
 		default:
 			b.apply(written.Conflicts, false)
 		}
 	}
+	return false
 }
 
 const encodePanic = "notice: cannot encode notice: "
--- a/core/notice/outage_test.go
+++ b/core/notice/outage_test.go
@@ -43,3 +43,20 @@
 		})
 	}
 }
+
+// TestPublishReportsFailure guards against a holder that nobody hears of since the store was away for
+// longer than the time for one publication.
+func TestPublishReportsFailure(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := &outage.Store{}
+		b := &notice.Board{Store: s, Log: log.NewNopLogger(), OnNotice: func(string, election.Notice) {}}
+		n := election.Notice{Epoch: s.Set("c0/cell/holder", nil)}
+		s.Disturb(outage.Silent)
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		require.False(t, b.Publish(ctx, "c0", n))
+		cancel()
+		s.Disturb(outage.None)
+		require.True(t, b.Publish(t.Context(), "c0", n))
+	})
+}
--- a/gypsumward/hosted/standby.go
+++ b/gypsumward/hosted/standby.go
@@ -278,14 +278,17 @@
 	}()
 }
 
-// publishTimeout bounds the publication of a notice.
+// publishTimeout is the time after which a notice that could not be published is made anew.
 const publishTimeout = 20 * time.Second
 
-// publish publishes the notice of this instance as the holder.
+// publish publishes the notice of this instance for as long as it is the holder.
 func (p *participant) publish() {
-	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
-	defer cancel()
-	if _, _, self := p.elector.Holder(); self {
-		p.host.board.Publish(ctx, p.name, p.elector.Notice())
+	for published := false; !published; {
+		if _, _, self := p.elector.Holder(); !self {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
+		published = p.host.board.Publish(ctx, p.name, p.elector.Notice())
+		cancel()
 	}
 }
