hosted: notices are watched for 2 s at a time

A connection that goes silent without a reset hid a new holder for up to 4.7 s from the instances that do not compete for the cell: 4 s for which the store waits for a change and 0.7 s more. It is 2.7 s now, for a quarter of a call a second and instance more.

--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -59,7 +59,7 @@
 	minCallerTimeout = 700 * time.Millisecond
 	probeTimeout     = 250 * time.Millisecond // of a connection attempt that checks whether an instance listens
 	metricsPort      = "9464"
-	noticeWait       = 4 * time.Second // time that the store waits for a change of the notices
+	noticeWait       = 2 * time.Second // time that the store waits for a change of the notices
 	membersPlanning  = time.Second     // between two reads of the members while this instance makes a plan
 )
 
