--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -46,7 +46,7 @@
 	// OnRows receives rows after every successful call: all rows if whole is true, otherwise
 	// those that have changed. A changed row of version zero was removed.
 	OnRows func(rows []table.Row, whole bool)
-	// OnError is called after each call that failed or was given up. It may be nil.
+	// OnError is called after each call that failed or has received nothing in time. It may be nil.
 	OnError func(f Failure)
 	// PollInterval returns the time to wait between a reply and the next call. It may be nil.
 	PollInterval func() time.Duration
--- a/core/mirror/poller.go
+++ b/core/mirror/poller.go
@@ -22,7 +22,7 @@
 	Refresh <-chan struct{}
 	// OnRows receives all rows after every successful poll; whole is always true.
 	OnRows func(rows []table.Row, whole bool)
-	// OnError is called after each poll that failed. It may be nil.
+	// OnError is called after each call that failed or has received nothing in time. It may be nil.
 	OnError func(f Failure)
 }
 
