mirror: a poller runs the loop of a mirror, and both report successful reads

- Poller.Run repeated the loop of Mirror.Run and its wait between calls; both now call Mirror.run.
- A successful read was reported by wrappers of OnRows in notice, roster and twice in hosted.
Mirror and Poller have OnRead beside OnError instead.
- The age of a read was computed by a function and a method; the method serves the gauge too.
- core/outage had its own copy of monotonic.Sleep.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -46,6 +46,8 @@
 	// OnRows receives rows after every successful call: all rows if whole is true, otherwise
 	// those that have changed. A changed row of version zero was removed.
 	OnRows func(rows []table.Row, whole bool)
+	// OnRead is called after every successful call, before OnRows. It may be nil.
+	OnRead func()
 	// OnError is called after each call that failed or has received nothing in time. It may be nil.
 	OnError func(f Failure)
 	// PollInterval returns the time to wait between a reply and the next call. It may be nil.
@@ -60,40 +62,45 @@
 
 // Run reads the rows and then watches them until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
+	if m.Wait == 0 {
+		m.Wait = DefaultWait
+	}
+	m.run(ctx, true)
+}
+
+// run reads the rows until ctx ends. After the first time it reads their changes if watches is set,
+// otherwise all of them.
+func (m *Mirror) run(ctx context.Context, watches bool) {
 	defer m.calls.Wait()
-	m.begin()
+	if m.Timeout == 0 {
+		m.Timeout = DefaultTimeout
+	}
+	m.lastRead = time.Now()
 	version := unread
 	for {
-		got, ok := m.read(ctx, version, m.Wait)
+		got, ok := m.read(ctx, version)
 		if !ok {
 			return
 		}
 		m.lastRead = time.Now()
+		if m.OnRead != nil {
+			m.OnRead()
+		}
 		m.OnRows(got.rows, got.whole)
-		version = got.version
+		if watches {
+			version = got.version
+		}
 		m.awaitNextCall(ctx)
 	}
 }
 
-// read reads the rows, or their changes after version, for which the store waits up to wait. Ok is
-// false if ctx ends first.
-func (m *Mirror) read(ctx context.Context, version int64, wait time.Duration) (got reply, ok bool) {
+// read reads the rows, or their changes after version. Ok is false if ctx ends first.
+func (m *Mirror) read(ctx context.Context, version int64) (got reply, ok bool) {
 	r := &race{
 		ctx: ctx, timeout: m.Timeout, report: m.report, calls: &m.calls,
 		perform: func(ctx context.Context, wait time.Duration) reply { return m.advance(ctx, version, wait) },
 	}
-	return r.run(wait)
-}
-
-// begin sets the defaults.
-func (m *Mirror) begin() {
-	if m.Wait == 0 {
-		m.Wait = DefaultWait
-	}
-	if m.Timeout == 0 {
-		m.Timeout = DefaultTimeout
-	}
-	m.lastRead = time.Now()
+	return r.run(m.Wait)
 }
 
 // report reports that a call failed or is quiet.
--- a/core/mirror/poller.go
+++ b/core/mirror/poller.go
@@ -22,28 +22,17 @@
 	Refresh <-chan struct{}
 	// OnRows receives all rows after every successful poll; whole is always true.
 	OnRows func(rows []table.Row, whole bool)
+	// OnRead is called after every successful poll, before OnRows. It may be nil.
+	OnRead func()
 	// OnError is called after each call that failed or has received nothing in time. It may be nil.
 	OnError func(f Failure)
 }
 
 // Run polls until ctx ends.
 func (p *Poller) Run(ctx context.Context) {
-	m := Mirror{Store: p.Store, Prefix: p.Prefix, Timeout: p.Timeout, OnRows: p.OnRows, OnError: p.OnError, after: p.After, through: p.Through}
-	defer m.calls.Wait()
-	m.begin()
-	for {
-		got, ok := m.read(ctx, unread, 0)
-		if !ok {
-			return
-		}
-		m.lastRead = time.Now()
-		m.OnRows(got.rows, got.whole)
-		t := time.NewTimer(p.Interval())
-		select {
-		case <-t.C:
-		case <-p.Refresh:
-		case <-ctx.Done():
-		}
-		t.Stop()
+	m := Mirror{
+		Store: p.Store, Prefix: p.Prefix, Timeout: p.Timeout, OnRead: p.OnRead, OnRows: p.OnRows, OnError: p.OnError,
+		PollInterval: p.Interval, Refresh: p.Refresh, after: p.After, through: p.Through,
 	}
+	m.run(ctx, false)
 }
--- a/core/notice/board.go
+++ b/core/notice/board.go
@@ -59,15 +59,7 @@
 
 // Run keeps the notices up to date until ctx ends.
 func (b *Board) Run(ctx context.Context) {
-	m := &mirror.Mirror{
-		Store: b.Store, Prefix: Prefix, Wait: b.Wait, OnError: b.OnError,
-		OnRows: func(rows []table.Row, whole bool) {
-			b.apply(rows, whole)
-			if b.OnRead != nil {
-				b.OnRead()
-			}
-		},
-	}
+	m := &mirror.Mirror{Store: b.Store, Prefix: Prefix, Wait: b.Wait, OnRead: b.OnRead, OnRows: b.apply, OnError: b.OnError}
 	m.Run(ctx)
 }
 
--- a/core/outage/store.go
+++ b/core/outage/store.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"gypsumward/core/attempt"
+	"gypsumward/core/monotonic"
 	"gypsumward/core/table"
 	"gypsumward/core/table/memstore"
 )
@@ -161,7 +162,7 @@
 	case Busy:
 		return ErrBusy
 	case Slow:
-		return sleep(ctx, SlowTime)
+		monotonic.Sleep(ctx, SlowTime)
 	case None:
 	}
 	return ctx.Err()
@@ -184,8 +185,9 @@
 			<-ctx.Done()
 			return ctx.Err()
 		}
-		if err := sleep(ctx, d); err != nil {
-			return err
+		monotonic.Sleep(ctx, d)
+		if ctx.Err() != nil {
+			return ctx.Err()
 		}
 		attempt.From(ctx).Receive(chunkSize)
 	}
@@ -197,15 +199,3 @@
 	defer s.mu.Unlock()
 	s.sending += n
 }
-
-// sleep waits for d and returns the error of ctx if it ends first.
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -97,12 +97,8 @@
 func (r *Roster) Run(ctx context.Context) {
 	p := &mirror.Poller{
 		Store: r.Store, Prefix: Prefix, Interval: r.Interval, Refresh: r.Refresh,
-		OnRows: func(rows []table.Row, _ bool) {
-			if r.OnRead != nil {
-				r.OnRead()
-			}
-			r.removeExpired(ctx, r.apply(rows))
-		},
+		OnRead:  r.OnRead,
+		OnRows:  func(rows []table.Row, _ bool) { r.removeExpired(ctx, r.apply(rows)) },
 		OnError: r.OnError,
 	}
 	p.Run(ctx)
--- a/gypsumward/hosted/directory.go
+++ b/gypsumward/hosted/directory.go
@@ -83,7 +83,7 @@
 func (h *Host) pollRunners(ctx context.Context, after, through string, onRows func(rows []table.Row, whole bool)) {
 	var count atomic.Int64
 	p := &mirror.Poller{
-		Store: h.store, Prefix: platform.RunnerPrefix, OnError: h.readFailed(runnerReads),
+		Store: h.store, Prefix: platform.RunnerPrefix, OnRead: h.readDone(runnerReads), OnError: h.readFailed(runnerReads),
 		Interval: func() time.Duration {
 			d := cell.ReadInterval(int(count.Load()), h.settings.Current().Drain)
 			if h.plan.Load() == nil {
@@ -91,11 +91,7 @@
 			}
 			return d
 		},
-		OnRows: func(rows []table.Row, whole bool) {
-			h.metrics.RecordRead(runnerReads)
-			count.Store(int64(len(rows)))
-			onRows(rows, whole)
-		},
+		OnRows: func(rows []table.Row, whole bool) { count.Store(int64(len(rows))); onRows(rows, whole) },
 	}
 	if after != "" {
 		p.After = platform.RunnerPrefix + after
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -296,7 +296,7 @@
 	wait, timeout := mirror.Intervals(h.settings.Current().ConfigApply)
 	configs := &mirror.Mirror{
 		Store: h.store, Prefix: platform.ConfigPrefix, Wait: wait, Timeout: timeout,
-		OnRows: h.applyConfig, OnError: h.readFailed(configReads),
+		OnRead: h.readDone(configReads), OnRows: h.applyConfig, OnError: h.readFailed(configReads),
 	}
 	wg.Go(func() { configs.Run(ctx) })
 	wg.Go(func() { h.roster.Register(ctx) })
@@ -333,7 +333,6 @@
 // applyConfig applies a changed configuration among the operator's rows. One that cannot
 // be decoded leaves the current one in force.
 func (h *Host) applyConfig(rows []table.Row, _ bool) {
-	h.metrics.RecordRead(configReads)
 	for _, r := range rows {
 		if r.Key != platform.ConfigKey || r.Version == 0 {
 			continue
--- a/gypsumward/hosted/metrics.go
+++ b/gypsumward/hosted/metrics.go
@@ -49,28 +49,25 @@
 		lastReads: map[string]*atomic.Int64{},
 	}
 	for _, dependency := range []string{configReads, noticeReads, memberReads, runnerReads} {
-		last := &atomic.Int64{}
-		m.lastReads[dependency] = last
+		m.lastReads[dependency] = &atomic.Int64{}
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: "gypsumward", Name: "read_age_seconds", ConstLabels: prometheus.Labels{"what": dependency},
 			Help: "Time since the last successful read of rows of the store; -1 before the first one.",
-		}, func() float64 { return readAge(last.Load()) }))
+		}, func() float64 { return m.ReadAge(dependency) }))
 	}
 	m.registry.MustRegister(m.counts, m.durations, m.calls, m.bytes, collectors.NewGoCollector())
 	return m
 }
 
-// readAge returns the seconds since a read at the given time of the monotonic clock in nanoseconds, or -1 if it is zero.
-func readAge(at int64) float64 {
+// ReadAge returns the seconds since the last successful read of a dependency, or -1 if there was none.
+func (m *metrics) ReadAge(dependency string) float64 {
+	at := m.lastReads[dependency].Load()
 	if at == 0 {
 		return -1
 	}
 	return time.Duration(monotonic.Clock{}.Now().UnixNano() - at).Seconds()
 }
 
-// ReadAge returns the seconds since the last successful read of a dependency, or -1 if there was none.
-func (m *metrics) ReadAge(dependency string) float64 { return readAge(m.lastReads[dependency].Load()) }
-
 // RecordRead records a successful read of a dependency.
 func (m *metrics) RecordRead(dependency string) {
 	m.lastReads[dependency].Store(monotonic.Clock{}.Now().UnixNano())
