proxy, cell, peer, hosted: who has submitted a job, to which cells, and when it was left

The logs could not tell why a job started in two cells: the instance that takes a submission from a client logged nothing, and the line of an accepted job did not name the caller.

- submitted: the outcome of each submission to a cell, its caller, whether a holder may have had the job before and after which result, and whether the client is gone. nosubmit has the same fields.
- overflow names the cell that has refused.
- leave and left: both sides of the notice that a caller has left, left also when the holder does not know the job, with the number of runs and the longest lease.
- accept, attach, start: the caller and attempt; start has the lease too.
- callerlost: a silent instance, for how long, with how many calls.

--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -293,7 +293,8 @@
 	c.stopOpportunistic(now, t, r)
 	c.Metrics.Count("starts", 1)
 	c.log("event", "start", "job", t.job.ID, "step", t.step, "task", t.index, "run", t.lastRun, "runner", r.ID, "waited", now.Sub(t.job.arrived),
-		"left", t.job.due.Sub(now), "speed", r.speed.rate(), "free", r.free().CPU)
+		"left", t.job.due.Sub(now), "speed", r.speed.rate(), "free", r.free().CPU, "caller", t.job.firstCaller(), "again", t.job.inherited,
+		"lease", r.leaseLeft(now, deadline))
 	c.sendStart(now, x, deadline)
 }
 
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -18,6 +18,20 @@
 	HandingOver                   // not accepted, since the cell is being handed over
 )
 
+// String returns the name of the verdict as logged.
+func (v Verdict) String() string {
+	switch v {
+	case Accepted:
+		return "accepted"
+	case Refused:
+		return "refused"
+	case HandingOver:
+		return "handingover"
+	default:
+		return "unknown"
+	}
+}
+
 // Outcome is the response to a submitted job.
 type Outcome struct {
 	Verdict    Verdict
@@ -212,6 +226,41 @@
 	return false
 }
 
+// firstCaller returns the caller that has waited longest for the outcome, or nothing if none waits.
+func (j *job) firstCaller() string {
+	if len(j.waiting) == 0 {
+		return ""
+	}
+	return j.waiting[0].caller
+}
+
+// runCount returns the number of tasks with a run that may be alive.
+func (j *job) runCount() int {
+	n := 0
+	for _, step := range j.tasks {
+		for _, t := range step {
+			if t.run != nil {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// longestLease returns the longest time for which a run of j may still be alive if its runner
+// receives no further order.
+func (j *job) longestLease(now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for _, step := range j.tasks {
+		for _, t := range step {
+			if t.run != nil {
+				longest = max(longest, t.run.runner.leaseLeft(now, t.run.runner.maxDeadline))
+			}
+		}
+	}
+	return longest
+}
+
 // notifyWaiters sends o to all waiting callers.
 func (j *job) notifyWaiters(o Outcome) {
 	for _, w := range j.waiting {
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -133,6 +133,11 @@
 	return r.clock + now.Sub(r.clockAt).Milliseconds()
 }
 
+// leaseLeft returns the time from now to a deadline on the clock of r, by the last reading of it.
+func (r *runner) leaseLeft(now time.Time, deadline int64) time.Duration {
+	return time.Duration(deadline-r.estimateClock(now)) * time.Millisecond
+}
+
 // leasesLapsed reports whether every lease granted to r has certainly expired, given the
 // longest lease and the drift of the runner's clock.
 func (r *runner) leasesLapsed(now time.Time, lease time.Duration) bool {
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -81,6 +81,7 @@
 
 // addWaiter replies with the outcome of a known job, or lets the caller wait for it.
 func (c *Cell) addWaiter(j *job, caller string, reply func(Outcome)) {
+	c.log("event", "attach", "job", j.ID, "caller", caller, "state", string(j.state), "begun", j.hasStarted(), "waiting", len(j.waiting))
 	switch {
 	case j.Transient && j.state.Ended():
 		reply(Outcome{Verdict: OutcomeUnknown}) // it was dropped, and its runs are being stopped
@@ -164,11 +165,12 @@
 func (c *Cell) removeWaiters(now time.Time, id, caller string, gone func(waiter) bool) {
 	j := c.jobs[id]
 	if j == nil || c.deposed {
+		c.log("event", "left", "job", id, "caller", caller, "known", false)
 		return
 	}
 	j.waiting = slices.DeleteFunc(j.waiting, gone)
 	if j.Transient && len(j.waiting) == 0 && !j.state.Ended() {
-		c.log("event", "left", "job", id, "caller", caller, "begun", j.hasStarted())
+		c.log("event", "left", "job", id, "caller", caller, "begun", j.hasStarted(), "runs", j.runCount(), "lease", j.longestLease(now))
 		c.finish(now, j, work.Cancelled)
 		c.schedulePass()
 	}
@@ -190,7 +192,7 @@
 	c.Metrics.Count("accepted", 1)
 	c.Metrics.Observe("accept", now.Sub(j.arrived))
 	c.log("event", "accept", "job", j.ID, "queue", j.Queue.Name, "tasks", j.TaskCount(), "took", now.Sub(j.arrived),
-		"due", j.due.Sub(now), "transient", j.Transient)
+		"due", j.due.Sub(now), "transient", j.Transient, "caller", j.firstCaller(), "again", j.inherited)
 	if !j.Transient {
 		j.notifyWaiters(Outcome{Verdict: Accepted, State: work.Queued})
 	}
--- a/core/overflow/submitter.go
+++ b/core/overflow/submitter.go
@@ -17,6 +17,8 @@
 
 // Cell is a cell that accepts or refuses jobs.
 type Cell interface {
+	// Name returns the name of the cell.
+	Name() string
 	// Connected reports whether the holder of the cell can be reached.
 	Connected() bool
 	// Submit submits a job that arrived at the given time and returns the outcome. If
@@ -29,8 +31,8 @@
 // Submitter submits jobs to cells. Its fields must be set before use.
 type Submitter struct {
 	Clock interface{ Now() time.Time }
-	// OnHandedOver is called when a cell has refused a job that is submitted again.
-	OnHandedOver func(j work.Job, o cell.Outcome)
+	// OnHandedOver is called when the cell from has refused a job that is submitted again.
+	OnHandedOver func(j work.Job, from Cell, o cell.Outcome)
 }
 
 // Submit submits a job to at most MaxCells cells, those with a holder that can be reached
@@ -64,7 +66,7 @@
 		} else {
 			refusals = append(refusals, o)
 		}
-		s.OnHandedOver(j, o)
+		s.OnHandedOver(j, c, o)
 	}
 	slices.SortStableFunc(full, func(a, b waitingCell) int { return cmp.Compare(a.wait, b.wait) })
 	for _, c := range full {
@@ -76,7 +78,7 @@
 		if over() {
 			break
 		}
-		s.OnHandedOver(j, o)
+		s.OnHandedOver(j, c, o)
 	}
 	return combine(refusals)
 }
--- a/core/overflow/submitter_test.go
+++ b/core/overflow/submitter_test.go
@@ -23,6 +23,8 @@
 	arrived     []time.Time // of the jobs submitted
 }
 
+func (c *fakeCell) Name() string { return "c" }
+
 func (c *fakeCell) Connected() bool { return !c.unreachable }
 
 func (c *fakeCell) Submit(_ context.Context, _ work.Job, arrived time.Time, roomOnly bool) cell.Outcome {
@@ -42,7 +44,7 @@
 // after which it was handed over.
 func submit(ctx context.Context, clock *clock, fakes ...*fakeCell) (cell.Outcome, []string) {
 	var reasons []string
-	s := overflow.Submitter{Clock: clock, OnHandedOver: func(_ work.Job, o cell.Outcome) { reasons = append(reasons, o.Reason) }}
+	s := overflow.Submitter{Clock: clock, OnHandedOver: func(_ work.Job, _ overflow.Cell, o cell.Outcome) { reasons = append(reasons, o.Reason) }}
 	var cells []overflow.Cell
 	for _, f := range fakes {
 		f.clock = clock
--- a/core/peer/server.go
+++ b/core/peer/server.go
@@ -48,6 +48,11 @@
 	// parameters and its result. It must not block and may be nil.
 	OnCall func(method string, params, result int)
 
+	// OnCallerLost is called when calls in flight are canceled because of CallerTimeout, with the
+	// address of the peer, the time since its last byte and the number of calls. It must not block
+	// and may be nil.
+	OnCallerLost func(addr string, silence time.Duration, calls int)
+
 	// OnPanic is called with the method and the value when a handler has panicked. The call
 	// fails and may have had an effect. It may be nil.
 	OnPanic func(method string, value any)
@@ -178,6 +183,9 @@
 			silent, last = 0, received
 		}
 		if silent == silenceChecks {
+			if s.OnCallerLost != nil {
+				s.OnCallerLost(bounded.RemoteAddr().String(), time.Since(time.Unix(0, last)), len(handler.slots))
+			}
 			_ = conn.Close()
 			return
 		}
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -80,6 +80,9 @@
 	reach       reach
 }
 
+// Name returns the name of the cell.
+func (p *Proxy) Name() string { return p.Cell }
+
 // RegisterMethods registers the methods of the cell that other instances call.
 func (p *Proxy) RegisterMethods(s *peer.Server) {
 	peer.Handle(s, p.method(methodSubmit), func(ctx context.Context, submission cell.Submission) (submitReply, error) {
--- a/core/proxy/submit.go
+++ b/core/proxy/submit.go
@@ -36,6 +36,7 @@
 	limit := arrived.Add(searchTime(&j))
 	deadline := monotonic.DeadlineOf(ctx, p.Clock.Now())
 	var err error
+	opened := "" // why a holder may have the job without having said so
 	for attempt := 1; ; attempt++ {
 		var o cell.Outcome
 		var maybeHandled bool
@@ -44,9 +45,14 @@
 		submission.Caller = caller + cell.AttemptSeparator + strconv.Itoa(attempt)
 		o, maybeHandled, err = p.submitOnce(ctx, submission)
 		if err == nil && isFinal(o, submission.Resubmitted) {
-			return p.verifyRefusal(ctx, j, o)
+			o = p.verifyRefusal(ctx, j, o)
+			_ = p.Log.Log("event", "submitted", "job", j.ID, "queue", j.Queue.Name, "caller", submission.Caller, "again", submission.Resubmitted, "opened", opened,
+				"verdict", o.Verdict, "state", string(o.State), "reason", o.Reason, "took", p.Clock.Now().Sub(arrived), "gone", ctx.Err() != nil)
+			return o
+		}
+		if !submission.Resubmitted && (maybeHandled || (err == nil && o.Verdict == cell.OutcomeUnknown)) {
+			submission.Resubmitted, opened = true, openedBy(attempt, o, err)
 		}
-		submission.Resubmitted = submission.Resubmitted || maybeHandled || (err == nil && o.Verdict == cell.OutcomeUnknown)
 		p.Elector.Refresh()
 		if ctx.Err() != nil || deadline.Passed(p.Clock.Now()) || (!submission.Resubmitted && p.Clock.Now().After(limit)) {
 			break
@@ -58,11 +64,19 @@
 		o = cell.Outcome{Verdict: cell.OutcomeUnknown, Reason: ReasonNoHolder}
 		p.notifyLeave(j.ID, submission.Caller)
 	}
-	_ = p.Log.Log("event", "nosubmit", "job", j.ID, "queue", j.Queue.Name, "open", submission.Resubmitted, "took", p.Clock.Now().Sub(arrived),
-		"gone", ctx.Err() != nil, "err", err)
+	_ = p.Log.Log("event", "nosubmit", "job", j.ID, "queue", j.Queue.Name, "caller", submission.Caller, "open", submission.Resubmitted, "opened", opened,
+		"took", p.Clock.Now().Sub(arrived), "gone", ctx.Err() != nil, "err", err)
 	return o
 }
 
+// openedBy describes the result of an attempt after which a holder may have the job.
+func openedBy(attempt int, o cell.Outcome, err error) string {
+	if err != nil {
+		return strconv.Itoa(attempt) + ": " + err.Error()
+	}
+	return strconv.Itoa(attempt) + ": " + o.Verdict.String()
+}
+
 // verifyRefusal returns o, unless o refuses a job that a previous holder has stored and
 // the current one does not know. The outcome is then the stored state, or open if the
 // store cannot be read.
@@ -128,10 +142,11 @@
 func (p *Proxy) notifyLeave(id, caller string) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	_, _ = p.callHolder(ctx, methodLeave, leaveNotice{id, caller}, nil, func(_ context.Context, l *eventloop.Loop) error {
+	_, err := p.callHolder(ctx, methodLeave, leaveNotice{id, caller}, nil, func(_ context.Context, l *eventloop.Loop) error {
 		l.Leave(id, caller)
 		return nil
 	})
+	_ = p.Log.Log("event", "leave", "job", id, "caller", caller, "err", err)
 }
 
 var _ election.Leader = (*Proxy)(nil)
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -222,7 +222,7 @@
 	h.plan.Store(&plan)
 	peers := &peer.Server{
 		Addr: h.self.Addr, Clock: h.client.Clock, MaxCalls: maxPeerCalls, DrainTimeout: 100 * time.Millisecond, CallerTimeout: h.callerTimeout(),
-		Delay: h.stalls.Delay, OnPanic: h.panicked, OnCall: h.countPeerCall,
+		Delay: h.stalls.Delay, OnPanic: h.panicked, OnCall: h.countPeerCall, OnCallerLost: h.callerLost,
 	}
 	var participants []*participant
 	for i := range plan.Cells {
@@ -285,6 +285,12 @@
 	h.metrics.CountCall(name, result, params)
 }
 
+// callerLost counts and logs the loss of another instance with calls in flight here.
+func (h *Host) callerLost(addr string, silence time.Duration, calls int) {
+	h.metrics.Count("callers_lost", calls)
+	_ = h.log.Log("event", "callerlost", "addr", addr, "silence", silence, "calls", calls)
+}
+
 // panicked counts and logs a panic of the handler of a call between instances.
 func (h *Host) panicked(method string, value any) {
 	h.metrics.Count("panic", 1)
--- a/gypsumward/hosted/jobservice.go
+++ b/gypsumward/hosted/jobservice.go
@@ -63,9 +63,9 @@
 }
 
 // handedOver counts and logs a refusal by a cell of a job that another one may run.
-func (s jobService) handedOver(j work.Job, o cell.Outcome) {
+func (s jobService) handedOver(j work.Job, from overflow.Cell, o cell.Outcome) {
 	s.h.metrics.Count("handed_over_"+o.Reason, 1)
-	_ = s.h.log.Log("event", "overflow", "job", j.ID, "queue", j.Queue.Name, "reason", o.Reason)
+	_ = s.h.log.Log("event", "overflow", "job", j.ID, "queue", j.Queue.Name, "from", from.Name(), "reason", o.Reason)
 }
 
 // Cancel cancels a job. It returns known as false if there is no such job, and
