overflow, hangup, hosted: a submission whose client has lost its connection goes to no cell

Cause: a machine can read a request from a connection that is broken already. The client, whose connection ended before the request was read, sends it again at once to another instance. The first instance noticed the end only some ms after it had submitted the job, by the read that net/http keeps open, and by then the job ran in one cell; the second instance found that cell unreachable, since its own connections had been reset too, or full, and submitted the job to another. Class: work that is taken from a connection that no longer stands for a caller.

Why it works: the system knows of the end of a connection before a request that was sent on it can be read, and is asked right before the job is passed on, and again before each further cell.

TestCallerGone ended its context before the first submission, which must not happen at all now; it ends it during that, as its comment said, and TestCallerGoneBefore has the former case.

--- a/core/overflow/submitter.go
+++ b/core/overflow/submitter.go
@@ -33,17 +33,30 @@
 	Clock interface{ Now() time.Time }
 	// OnHandedOver is called when the cell from has refused a job that is submitted again.
 	OnHandedOver func(j work.Job, from Cell, o cell.Outcome)
+	// Gone reports whether the caller of a submission, whose context it receives, no longer waits,
+	// also before the context ends. It may be nil.
+	Gone func(ctx context.Context) bool
 }
 
+// ReasonGone is the reason of the refusal of a job whose caller no longer waits.
+const ReasonGone = "gone"
+
+// goneRetryAfter is the time after which the caller may submit such a job again.
+const goneRetryAfter = time.Second
+
 // Submit submits a job to at most MaxCells cells, those with a holder that can be reached
 // first, otherwise in the given order: first to those that can start it at once, then, if
 // none can, until one does not refuse it, that with the least work first. If all refuse, it
 // returns the refusal of the first with the shortest of the times after which the caller may
-// submit again.
+// submit again. It submits a job to no cell any more once the caller is gone, since it may have
+// submitted it again elsewhere.
 func (s *Submitter) Submit(ctx context.Context, j work.Job, cells []Cell) cell.Outcome {
 	arrived := s.Clock.Now()
 	deadline := monotonic.DeadlineOf(ctx, arrived)
-	over := func() bool { return ctx.Err() != nil || deadline.Passed(s.Clock.Now()) }
+	if s.gone(ctx) {
+		return cell.Outcome{Verdict: cell.Refused, Reason: ReasonGone, RetryAfter: goneRetryAfter}
+	}
+	over := func() bool { return s.gone(ctx) || deadline.Passed(s.Clock.Now()) }
 	reachable, unreachable := byReach(cells)
 	ordered := slices.Concat(reachable, unreachable)
 	ordered = ordered[:min(len(ordered), MaxCells)]
@@ -83,6 +96,11 @@
 	return combine(refusals)
 }
 
+// gone reports whether the caller of a submission no longer waits.
+func (s *Submitter) gone(ctx context.Context) bool {
+	return ctx.Err() != nil || (s.Gone != nil && s.Gone(ctx))
+}
+
 // waitingCell is a cell that may run a job later, once the tasks that wait have started.
 type waitingCell struct {
 	Cell
--- a/core/overflow/submitter_test.go
+++ b/core/overflow/submitter_test.go
@@ -21,6 +21,7 @@
 	wait        time.Duration // until the jobs that wait have started
 	outcome     cell.Outcome
 	arrived     []time.Time // of the jobs submitted
+	onSubmit    func()      // called by each submission; may be nil
 }
 
 func (c *fakeCell) Name() string { return "c" }
@@ -29,6 +30,9 @@
 
 func (c *fakeCell) Submit(_ context.Context, _ work.Job, arrived time.Time, roomOnly bool) cell.Outcome {
 	c.arrived = append(c.arrived, arrived)
+	if c.onSubmit != nil {
+		c.onSubmit()
+	}
 	c.clock.now = c.clock.now.Add(c.takes)
 	if roomOnly && c.full {
 		return cell.Outcome{Verdict: cell.Refused, Reason: cell.ReasonNoRoom, RetryAfter: c.wait}
@@ -154,9 +158,49 @@
 func TestCallerGone(t *testing.T) {
 	t.Parallel()
 	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
 	second := &fakeCell{outcome: done}
-	o, _ := submit(ctx, &clock{}, &fakeCell{outcome: full}, second)
+	o, _ := submit(ctx, &clock{}, &fakeCell{outcome: full, onSubmit: cancel}, second)
 	require.Equal(t, full, o)
 	require.Empty(t, second.arrived)
 }
+
+// TestCallerGoneBefore guards against a job that runs for a client whose connection broke before its
+// submission was read, and which has submitted the job again elsewhere.
+func TestCallerGoneBefore(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, test := range []struct {
+		name string
+		ctx  context.Context
+		gone func(context.Context) bool
+	}{
+		{"context ended", ctx, nil},
+		{"connection closed", context.Background(), func(context.Context) bool { return true }},
+	} {
+		for _, cells := range [][]overflow.Cell{{&fakeCell{outcome: done}}, {&fakeCell{outcome: done}, &fakeCell{outcome: done}}} {
+			s := overflow.Submitter{Clock: &clock{}, Gone: test.gone}
+			o := s.Submit(test.ctx, work.Job{ID: "j"}, cells)
+			require.Equal(t, cell.Refused, o.Verdict, test.name)
+			require.Equal(t, overflow.ReasonGone, o.Reason, test.name)
+			for _, c := range cells {
+				require.Empty(t, c.(*fakeCell).arrived, test.name)
+			}
+		}
+	}
+}
+
+// TestCallerGoneBetweenCells has a client whose connection breaks while the first cell refuses.
+func TestCallerGoneBetweenCells(t *testing.T) {
+	t.Parallel()
+	for _, first := range []*fakeCell{{outcome: full}, {full: true, outcome: done}} {
+		gone := false
+		first.clock, first.onSubmit = &clock{}, func() { gone = true }
+		second := &fakeCell{clock: &clock{}, outcome: done}
+		s := overflow.Submitter{Clock: &clock{}, OnHandedOver: func(work.Job, overflow.Cell, cell.Outcome) {}, Gone: func(context.Context) bool { return gone }}
+		o := s.Submit(context.Background(), work.Job{ID: "j"}, []overflow.Cell{first, second})
+		require.Equal(t, cell.Refused, o.Verdict)
+		require.Len(t, first.arrived, 1)
+		require.Empty(t, second.arrived)
+	}
+}
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -22,6 +22,7 @@
 	"gypsumward/core/cell"
 	"gypsumward/core/election"
 	"gypsumward/core/eventloop"
+	"gypsumward/core/hangup"
 	"gypsumward/core/hlc"
 	"gypsumward/core/logring"
 	"gypsumward/core/mirror"
@@ -198,6 +199,7 @@
 	ingressServer.HandlePrefix("/", &platform.Ingress{Jobs: jobService{h}, Configs: &h.configs, Draining: h.draining.Load, Delay: h.stalls.Delay, OnNoRoute: h.unmatched.record})
 	ingressServer.ReadHeaderTimeout = 5 * time.Second
 	ingressServer.IdleTimeout = time.Minute
+	ingressServer.ConnContext = hangup.WithConn
 	metricsServer := khttp.NewServer(khttp.Address(net.JoinHostPort(settings.IP, metricsPort)), khttp.Timeout(0))
 	metricsServer.Handle("/metrics", h.metrics.handler())
 	requests, end := context.WithCancel(context.WithoutCancel(ctx))
--- a/gypsumward/hosted/jobservice.go
+++ b/gypsumward/hosted/jobservice.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gypsumward/core/cell"
+	"gypsumward/core/hangup"
 	"gypsumward/core/overflow"
 	"gypsumward/core/proxy"
 	"gypsumward/core/work"
@@ -42,8 +43,7 @@
 // ctx has ended.
 func (s jobService) Submit(ctx context.Context, j work.Job) cell.Outcome {
 	if ctx.Err() != nil {
-		s.h.metrics.Count("refused_"+reasonExpired, 1)
-		_ = s.h.log.Log("event", "refuse", "job", j.ID, "queue", j.Queue.Name, "reason", reasonExpired, "delay", s.h.stalls.Delay())
+		s.refused(j, reasonExpired)
 		return cell.Outcome{Verdict: cell.Refused, Reason: reasonExpired, RetryAfter: expiredRetryAfter}
 	}
 	p := s.proxyOf(j.ID)
@@ -58,8 +58,18 @@
 	for _, n := range s.h.plan.Load().Preferred(j.ID, s.h.self.Zone) {
 		cells = append(cells, participants[n].proxy)
 	}
-	submitter := overflow.Submitter{Clock: s.h.clock, OnHandedOver: s.handedOver}
-	return submitter.Submit(ctx, j, cells)
+	submitter := overflow.Submitter{Clock: s.h.clock, OnHandedOver: s.handedOver, Gone: hangup.Closed}
+	o := submitter.Submit(ctx, j, cells)
+	if o.Reason == overflow.ReasonGone {
+		s.refused(j, o.Reason)
+	}
+	return o
+}
+
+// refused counts and logs the refusal of a job that was submitted to no cell.
+func (s jobService) refused(j work.Job, reason string) {
+	s.h.metrics.Count("refused_"+reason, 1)
+	_ = s.h.log.Log("event", "refuse", "job", j.ID, "queue", j.Queue.Name, "reason", reason, "delay", s.h.stalls.Delay())
 }
 
 // handedOver counts and logs a refusal by a cell of a job that another one may run.
