cell: a lost stop does not let a run outlast the caller that has left

What callers saw: a transient job could run twice. Its caller was lost, so the cell stopped its run; the stop order was lost, and the run went on while the client, 1.3 s after its connection had broken, submitted the job again, which another cell started.

Cause: the lease of a runner is extended for all of its runs. While a stop was not confirmed, orderDeadline went on extending it for the other runs; only the runs that a previous holder had left were bounded.

Fix: a run that must end has a time by which it must have ended, and no order extends the lease of its runner beyond the earliest of these, less the time of a stop. The rule for orphaned runs is now a case of it. The time is ResubmitAfter after CallerLeft. After AttemptLost it is 175 ms, since the instance may have been silent for the rest of ResubmitAfter before its loss was noticed (peer.CallerTimeout). Leases are never shortened: after AttemptLost, a lease granted before it, of up to 1 s, can outlast the bound. It is not extended any more.

The start order of a job whose caller has left was checked too, carried out 5 ms to 2.9 s late with all stops lost: later than about 50 ms it is fenced, also before this change.

What a lost stop costs others: TestLostStopSparesOthers, a stop lost and sent again after about 100 ms costs no other run its lease, at 12 phases of the lease.

--- a/core/cell/hold.go
+++ b/core/cell/hold.go
@@ -9,15 +9,15 @@
 
 // orderDeadline returns the lease deadline of an order sent at now, in milliseconds of
 // the runner's clock. It is zero if the lease must not be extended: the clock is not
-// known, the runner is silent, or another instance may have become the holder, which
-// relies on all leases to expire.
+// known, the runner is silent, another instance may have become the holder, which relies
+// on all leases to expire, or a run there must end.
 func (c *Cell) orderDeadline(now time.Time, r *runner) int64 {
 	if r.clock == 0 || r.isSilent(now, c.Settings.SilenceTimeout) || !now.Before(c.leaseUntil) {
 		return 0
 	}
 	lease := c.Settings.Lease - leaseMargin
-	if r.orphans > 0 || (!c.loaded && r.unclaimed) {
-		lease = min(lease, c.resubmissionTime(r).Add(-c.Settings.StopGrace).Sub(now))
+	if end := c.earliestEnd(r); !end.IsZero() {
+		lease = min(lease, end.Add(-c.Settings.StopGrace).Sub(now))
 	}
 	if lease <= 0 {
 		return 0
@@ -25,6 +25,21 @@
 	return r.estimateClock(now) + lease.Milliseconds()
 }
 
+// earliestEnd returns the earliest time by which a run on r must have ended, zero if none must. The
+// lease of r, which applies to all runs there, must not outlast it: the stop order may be lost.
+func (c *Cell) earliestEnd(r *runner) time.Time {
+	end := time.Time{}
+	if !c.loaded && r.unclaimed {
+		end = c.resubmissionTime(r)
+	}
+	for _, x := range r.runs {
+		if !x.endBy.IsZero() && (end.IsZero() || x.endBy.Before(end)) {
+			end = x.endBy
+		}
+	}
+	return end
+}
+
 // resubmissionTime returns the earliest time at which a caller may submit the job of a run again,
 // possibly to another cell, that the previous holder has left on r. The caller was lost with that
 // holder, which was alive at Term.PreviousAlive, and not longer than a lease before r was first
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -74,8 +74,9 @@
 	hasGang       bool      // at least one step is a gang
 	blockedSince  time.Time // since when a gang waits for capacity; zero if none does
 
-	inherited    bool // a previous holder may have started runs of it
-	inReady      bool // present in Cell.ready
+	inherited    bool      // a previous holder may have started runs of it
+	inReady      bool      // present in Cell.ready
+	runsEndBy    time.Time // when all its runs must have ended; zero if it has not been cancelled for its callers
 	waiting      []waiter
 	cancels      []func(work.State, bool) // callbacks of cancellations that wait for the end
 	stateQueries []stateQuery             // queries that wait for the end
--- a/core/cell/run.go
+++ b/core/cell/run.go
@@ -30,6 +30,7 @@
 	percent        float64
 	percentChanged time.Time // when percent last changed
 	stopSent       time.Time // when a stop order was sent; zero if none was
+	endBy          time.Time // when it must have ended, since its job may start in another cell from then on; zero if it may go on
 	orphan         bool      // its resources are not known; the runner counts as full
 	resumed        bool      // started from a checkpoint
 	lookAt         time.Time // when the runner is next asked for the progress of the run
@@ -123,8 +124,10 @@
 	r.runs[key] = x
 	if t == nil {
 		x.orphan = true
+		x.endBy = c.resubmissionTime(r)
 		r.orphans++
 	} else {
+		x.endBy = t.job.runsEndBy
 		x.resources = requirements(t.spec())
 		r.used = r.used.add(x.resources)
 	}
--- a/core/cell/runner_world_test.go
+++ b/core/cell/runner_world_test.go
@@ -30,17 +30,19 @@
 	draining     bool // as stated in its directory entry
 	unreachable  bool
 	dead         bool
-	refusesConns bool    // whether connections are refused while it is dead
-	replaced     bool    // whether it has crashed and another runner answers at its address
-	failsAll     bool    // whether every run fails
-	failsFirst   bool    // whether the first run of each task fails
-	hangs        bool    // whether runs make no progress and never end
-	unfit        bool    // whether it rejects all start orders
-	slowdown     float64 // factor by which runs take longer
-	losesPolls   bool    // replies to long polls are lost
-	driftPercent int64   // percent by which the clock is slow
-	token        int64   // highest fencing token seen
-	leaseUntil   int64   // on its clock, in milliseconds
+	refusesConns bool          // whether connections are refused while it is dead
+	replaced     bool          // whether it has crashed and another runner answers at its address
+	failsAll     bool          // whether every run fails
+	failsFirst   bool          // whether the first run of each task fails
+	hangs        bool          // whether runs make no progress and never end
+	unfit        bool          // whether it rejects all start orders
+	slowdown     float64       // factor by which runs take longer
+	losesPolls   bool          // replies to long polls are lost
+	losesStops   bool          // stop orders to it are lost
+	startDelay   time.Duration // added to the time until start orders arrive, which are then not replied to
+	driftPercent int64         // percent by which the clock is slow
+	token        int64         // highest fencing token seen
+	leaseUntil   int64         // on its clock, in milliseconds
 	runs         map[work.Task]*simRun
 	highestRun   map[work.Task]int // highest known run number of each task
 	unackedEnds  []order.EndedRun
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -103,7 +103,7 @@
 			continue
 		}
 		if x.orphan {
-			x.orphan = false
+			x.orphan, x.endBy = false, time.Time{}
 			r.orphans--
 			x.resources = requirements(t.spec())
 			r.used = r.used.add(x.resources)
@@ -145,13 +145,18 @@
 // transient job without waiting callers is cancelled.
 func (c *Cell) CallerLeft(now time.Time, id, caller string) {
 	name := attemptless(caller)
-	c.removeWaiters(now, id, caller, func(w waiter) bool { return attemptless(w.caller) == name })
+	c.removeWaiters(now, now, id, caller, func(w waiter) bool { return attemptless(w.caller) == name })
 }
 
-// AttemptLost records that no caller waits for one attempt of a submission any more. A
-// transient job without waiting callers is cancelled.
+// lossNoticeMargin is the least time from when an instance is found to be lost until its callers may
+// submit their jobs again: it may have been silent for the rest of Settings.ResubmitAfter.
+const lossNoticeMargin = 175 * time.Millisecond
+
+// AttemptLost records that no caller waits for one attempt of a submission any more, since the
+// instance that has made it is lost or has given up. A transient job without waiting callers is
+// cancelled.
 func (c *Cell) AttemptLost(now time.Time, id, caller string) {
-	c.removeWaiters(now, id, caller, func(w waiter) bool { return w.caller == caller })
+	c.removeWaiters(now, now.Add(lossNoticeMargin-c.Settings.ResubmitAfter), id, caller, func(w waiter) bool { return w.caller == caller })
 }
 
 // attemptless returns the name of a caller without the attempt.
@@ -161,8 +166,9 @@
 }
 
 // removeWaiters removes the waiting callers of a job for which gone returns true, and
-// cancels the job if it is transient and none is left.
-func (c *Cell) removeWaiters(now time.Time, id, caller string, gone func(waiter) bool) {
+// cancels the job if it is transient and none is left. Lost is the earliest time at which they
+// may have been lost.
+func (c *Cell) removeWaiters(now, lost time.Time, id, caller string, gone func(waiter) bool) {
 	j := c.jobs[id]
 	if j == nil || c.deposed {
 		c.log("event", "left", "job", id, "caller", caller, "known", false)
@@ -171,11 +177,24 @@
 	j.waiting = slices.DeleteFunc(j.waiting, gone)
 	if j.Transient && len(j.waiting) == 0 && !j.state.Ended() {
 		c.log("event", "left", "job", id, "caller", caller, "begun", j.hasStarted(), "runs", j.runCount(), "lease", j.longestLease(now))
+		c.boundRuns(j, lost.Add(c.Settings.ResubmitAfter))
 		c.finish(now, j, work.Cancelled)
 		c.schedulePass()
 	}
 }
 
+// boundRuns sets the time by which all runs of j must have ended.
+func (c *Cell) boundRuns(j *job, endBy time.Time) {
+	j.runsEndBy = endBy
+	for _, r := range c.sorted {
+		for key, x := range r.runs {
+			if key.task.Job == j.ID {
+				x.endBy = endBy
+			}
+		}
+	}
+}
+
 // acceptStored accepts a job whose row has been stored, and ends it if it was cancelled
 // meanwhile.
 func (c *Cell) acceptStored(now time.Time, j *job) {
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -389,14 +389,23 @@
 }
 
 func (p *process) Start(to order.Target, s order.Start) {
+	if r := p.world.runners[to.ID]; r != nil && r.startDelay > 0 {
+		p.world.after(r.startDelay, func() { r.start(s) })
+		p.world.after(1500*time.Millisecond, func() { p.exec(func() { p.cell.StartAnswered(p.world.now, to.ID, s, order.Reply{}) }) })
+		return
+	}
 	send(p, to, func(r *simRunner) order.Reply { return r.start(s) }, 1500*time.Millisecond,
 		func(v order.Reply) { p.cell.StartAnswered(p.world.now, to.ID, s, v) })
 }
 
 func (p *process) Stop(to order.Target, s order.Stop) {
 	p.stopsSent++
-	send(p, to, func(r *simRunner) order.Reply { return r.stop(s) }, 1500*time.Millisecond,
-		func(v order.Reply) { p.cell.StopAnswered(p.world.now, to.ID, s, v) })
+	answer := func(v order.Reply) { p.cell.StopAnswered(p.world.now, to.ID, s, v) }
+	if r := p.world.runners[to.ID]; r != nil && r.losesStops {
+		p.world.after(1500*time.Millisecond, func() { p.exec(func() { answer(order.Reply{}) }) })
+		return
+	}
+	send(p, to, func(r *simRunner) order.Reply { return r.stop(s) }, 1500*time.Millisecond, answer)
 }
 
 const holdTimeout = 400 * time.Millisecond // in addition to the hold's own wait
