cell: run numbers rise when a cancelled job is submitted again

Cause: a transient job that was cancelled is forgotten with its last run. When the same caller submits it again, as it does after a link was reset, the same holder numbered its runs from the beginning: below runs that have ended. PROTOCOL has numbers rise, and a runner rejects one that does not.

The end of a job now keeps the highest number of its runs, for as long as the end is kept, and a job that is submitted again goes on above it.

--- a/core/cell/ended.go
+++ b/core/cell/ended.go
@@ -13,6 +13,7 @@
 	state   work.State
 	at      time.Time
 	version int64 // version of its row; zero if it has none
+	lastRun int   // highest number of its runs; zero if it is not known
 }
 
 // endedJobs holds the ends of jobs for as long as they are reported.
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -227,6 +227,26 @@
 	return false
 }
 
+// setRunFloor sets the number above which the runs of all tasks of j are numbered by this holder.
+func (j *job) setRunFloor(floor int) {
+	for _, step := range j.tasks {
+		for _, t := range step {
+			t.runFloor = floor
+		}
+	}
+}
+
+// lastRun returns the highest number of a run of j, zero if there is none.
+func (j *job) lastRun() int {
+	last := 0
+	for _, step := range j.tasks {
+		for _, t := range step {
+			last = max(last, t.lastRun)
+		}
+	}
+	return last
+}
+
 // firstCaller returns the caller that has waited longest for the outcome, or nothing if none waits.
 func (j *job) firstCaller() string {
 	if len(j.waiting) == 0 {
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -78,11 +78,7 @@
 	j.inherited = true
 	j.row.stored, j.row.jobVersion = true, row.Version
 	j.due = now.Add(c.allowedTime(j))
-	for s := range j.tasks {
-		for _, t := range j.tasks[s] {
-			t.runFloor = (c.Term.TermNumber - 1) * runsPerTerm
-		}
-	}
+	j.setRunFloor((c.Term.TermNumber - 1) * runsPerTerm)
 	c.jobs[j.ID] = j
 }
 
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -70,11 +70,7 @@
 		return
 	}
 	j.waiting = append(j.waiting, waiter{submission.Caller, reply})
-	for s := range j.tasks {
-		for _, t := range j.tasks[s] {
-			t.runFloor = (c.Term.TermNumber - 1) * runsPerTerm
-		}
-	}
+	j.setRunFloor(max((c.Term.TermNumber-1)*runsPerTerm, c.endedJobs.jobs[w.ID].lastRun))
 	c.jobs[w.ID] = j
 	c.claimOrphans(now, j)
 	if w.Transient {
--- a/core/cell/writer.go
+++ b/core/cell/writer.go
@@ -185,7 +185,7 @@
 	}
 	j.unstoredEnds = nil
 	c.removeReady(j)
-	c.endedJobs.add(j.ID, jobEnd{state: j.state, at: now, version: version})
+	c.endedJobs.add(j.ID, jobEnd{state: j.state, at: now, version: version, lastRun: j.lastRun()})
 	if !c.hasRuns(j) {
 		delete(c.jobs, j.ID)
 	}
