peer: do not handle a call whose connection is closed already

What callers saw: a job could be started for an instance whose connection was gone, after its call had been read and before it was handled, and be stopped a moment later; its client may submit it elsewhere meanwhile.

Cause: a call is handled in a goroutine of its own, with a context that ends with the connection, but the server did not look at the context before the handler.

Fix: such a call is not handled. The reply can't arrive, so that its outcome is unknown to the caller.

The comment of CallerTimeout said that calls go on for that time after their connection was closed. They are canceled at once, and stay so: an instance that is gone is noticed earlier by its closed connection than by its silence, and a job that is submitted again by a living instance after a reset is not run beside its former runs.

--- a/core/peer/server.go
+++ b/core/peer/server.go
@@ -35,9 +35,9 @@
 	MaxMessage   int64         // bytes of one message; zero means DefaultMaxMessage
 	DrainTimeout time.Duration // time for calls in flight to finish when Run ends; zero means DefaultDrainTimeout
 
-	// CallerTimeout is the time without a byte from a peer, also after the connection was
-	// closed, after which the contexts of its calls in flight are canceled. Zero means that
-	// they are not.
+	// CallerTimeout is the time without a byte from a peer after which its connection is closed
+	// if calls of it are in flight. Zero means that it is not. The contexts of the calls in flight
+	// on a connection are canceled at once when it is closed, by either side.
 	CallerTimeout time.Duration
 
 	// Delay returns the longest time for which a message that is read now may have waited unread.
@@ -322,8 +322,8 @@
 	var result any
 	switch {
 	case req.Method == methodPing:
-	case expired:
-		res.Error = newError(CodeExpired, "the caller's time is over", errorData{Ran: api.RanNot})
+	case expired || ctx.Err() != nil:
+		res.Error = newError(CodeExpired, "the caller's time is over or its connection is closed", errorData{Ran: api.RanNot})
 	default:
 		params := json.RawMessage("null")
 		if req.Params != nil {
