peer: do not send a call whose caller has given up

What callers saw: a job could be submitted to a holder after its client had left and after the notice of that, since calls wait behind those that can't be written.

Cause: a call was sent by a goroutine that didn't look at the end of its context, also if that had ended before the call was made; the time left that it stated was that before the wait.

Fix: a call waits for its turn until its context ends, and states the time that is left when it is sent. One whose context has ended before is certainly not sent.

--- a/core/peer/client.go
+++ b/core/peer/client.go
@@ -83,6 +83,9 @@
 		ctx, cancel = context.WithTimeout(ctx, c.Timeout)
 		defer cancel()
 	}
+	if ctx.Err() != nil {
+		return notRun(ctx.Err())
+	}
 	l := c.acquire(addr)
 	if l == nil {
 		return &Fault{Ran: api.RanNot, Text: "client is closed"}
--- a/core/peer/conn.go
+++ b/core/peer/conn.go
@@ -20,7 +20,8 @@
 	bounded *boundedConn
 	rpc     *jsonrpc2.Conn
 
-	lastUsed atomic.Int64 // when a call last began or ended, in nanoseconds since 1970
+	sending  chan struct{} // semaphore of the call that is being sent
+	lastUsed atomic.Int64  // when a call last began or ended, in nanoseconds since 1970
 
 	mu     sync.Mutex
 	lastID uint64                  // id of the latest call
@@ -34,6 +35,7 @@
 	c := &clientConn{
 		link:    l,
 		bounded: &boundedConn{Conn: netConn, maxMessage: client.MaxMessage, writeTimeout: DefaultWriteTimeout},
+		sending: make(chan struct{}, 1),
 		calls:   map[uint64]*atomic.Bool{},
 	}
 	c.touch()
@@ -59,15 +61,18 @@
 	c.lastUsed.Store(time.Now().UnixNano())
 }
 
-// call sends a call and waits for the response. The second result reports whether the
-// call was certainly not sent because the connection was closed.
+// call sends a call and waits for the response. It is not sent after ctx has ended. The second
+// result reports whether the call was certainly not sent because the connection was closed.
 func (c *clientConn) call(ctx context.Context, method string, params json.RawMessage, result any) (*Fault, bool) {
 	id, sent := c.register()
-	m := meta{Timestamp: c.link.client.Clock.Now(), Timeout: timeLeft(ctx)}
 	done := make(chan error, 1)
 	var response json.RawMessage
 	go func() {
-		done <- c.rpc.Call(ctx, method, params, &response, jsonrpc2.PickID(jsonrpc2.ID{Num: id}), jsonrpc2.Meta(m))
+		waiter, err := c.send(ctx, id, method, params)
+		if err == nil {
+			err = waiter.Wait(ctx, &response)
+		}
+		done <- err
 	}()
 	var err error
 	select {
@@ -88,6 +93,21 @@
 	return nil, false
 }
 
+// send sends a call once those before it have been sent, unless ctx ends first.
+func (c *clientConn) send(ctx context.Context, id uint64, method string, params json.RawMessage) (jsonrpc2.Waiter, error) {
+	select {
+	case c.sending <- struct{}{}:
+		defer func() { <-c.sending }()
+	case <-ctx.Done():
+	}
+	if ctx.Err() != nil {
+		c.forget(id)
+		return jsonrpc2.Waiter{}, ctx.Err()
+	}
+	m := meta{Timestamp: c.link.client.Clock.Now(), Timeout: timeLeft(ctx)}
+	return c.rpc.DispatchCall(ctx, method, params, jsonrpc2.PickID(jsonrpc2.ID{Num: id}), jsonrpc2.Meta(m))
+}
+
 // register assigns an id to a call. It closes the connection if too many calls were
 // abandoned without a response.
 func (c *clientConn) register() (uint64, *atomic.Bool) {
