--- a/core/eventloop/loop.go
+++ b/core/eventloop/loop.go
@@ -316,37 +316,6 @@
 
 func (resumeMessage) Apply(c *cell.Cell, _ time.Time) { c.Resume() }
 
-// Submit submits a job to the cell and waits for the outcome. The error is ErrQueueFull
-// if the job was not submitted, ErrTermOver if the term ended without an outcome, or that
-// of ctx.
-func (l *Loop) Submit(ctx context.Context, submission cell.Submission) (cell.Outcome, error) {
-	m := submitMessage{submission: submission, reply: make(chan cell.Outcome, 1)}
-	return request(ctx, l, m, m.reply)
-}
-
-type submitMessage struct {
-	submission cell.Submission
-	reply      chan cell.Outcome
-}
-
-func (m submitMessage) Apply(c *cell.Cell, now time.Time) {
-	c.Submit(now, m.submission, func(o cell.Outcome) { m.reply <- o })
-}
-
-// Leave notifies the cell that a caller of Submit no longer waits.
-func (l *Loop) Leave(id, caller string) { l.Post(leaveMessage{id, caller}) }
-
-// Abandon notifies the cell that nobody waits for one attempt of a submission any more.
-func (l *Loop) Abandon(id, caller string) { l.Post(abandonMessage{id, caller}) }
-
-type abandonMessage struct{ id, caller string }
-
-func (m abandonMessage) Apply(c *cell.Cell, now time.Time) { c.AttemptLost(now, m.id, m.caller) }
-
-type leaveMessage struct{ id, caller string }
-
-func (m leaveMessage) Apply(c *cell.Cell, now time.Time) { c.CallerLeft(now, m.id, m.caller) }
-
 // Cancelled is the result of Cancel.
 type Cancelled struct {
 	State  work.State `json:"state"`
