proxy: send the notice that a caller has left until a holder has taken it

What callers saw: a transient job whose client had lost its connection ran on until the deadline of its call, though its entry instance knew that the client was gone. The client submitted it again after 1.3 s, possibly to another cell.

Cause: the notice was sent once. It was lost if the link was reset at that moment, and an instance that was not the holder, or whose term had just ended, answered it as if it had taken it. A holder of a later term didn't get it. The outcome of the submission waited for it, up to 1 s.

Only a holder whose term goes on takes it.

--- a/core/eventloop/submit.go
+++ b/core/eventloop/submit.go
@@ -28,8 +28,9 @@
 	c.Submit(now, m.submission, func(o cell.Outcome) { m.reply <- o })
 }
 
-// Leave notifies the cell that a caller of Submit no longer waits.
-func (l *Loop) Leave(id, caller string) { l.Post(leaveMessage{id, caller}) }
+// Leave notifies the cell that a caller of Submit no longer waits. It returns false if the term is
+// over.
+func (l *Loop) Leave(id, caller string) bool { return l.Post(leaveMessage{id, caller}) }
 
 // Abandon notifies the cell that nobody waits for one attempt of a submission any more.
 func (l *Loop) Abandon(id, caller string) { l.Post(abandonMessage{id, caller}) }
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -68,8 +68,15 @@
 	NewLoop   func(t election.Term) *eventloop.Loop // returns a new loop for a term
 	HeldCells func() int                            // returns the number of cells that this instance holds
 
+	// ResubmitAfter is the time after which a client that lost its connection submits its job
+	// again, possibly to another cell; zero means cell.DefaultResubmitAfter.
+	ResubmitAfter time.Duration
+	// Count adds n to the counter named what. It must not block and may be nil.
+	Count func(what string, n int)
+
 	ctx         context.Context
 	submissions atomic.Int64
+	leaving     atomic.Int64 // notices that callers have left which are being sent
 	running     sync.WaitGroup
 	mu          sync.Mutex
 	loop        *eventloop.Loop  // nil unless this instance is the holder
@@ -99,12 +106,7 @@
 		}
 		return newSubmitReply(o), toFault(err)
 	})
-	peer.Handle(s, p.method(methodLeave), func(_ context.Context, notice leaveNotice) (struct{}, error) {
-		if l := p.currentLoop(); l != nil {
-			l.Leave(notice.Name, notice.Caller)
-		}
-		return struct{}{}, nil
-	})
+	peer.Handle(s, p.method(methodLeave), p.handleLeave)
 	peer.Handle(s, p.method(methodCancel), func(ctx context.Context, q query) (eventloop.Cancelled, error) {
 		l, err := p.localLoop()
 		if err != nil {
@@ -167,11 +169,6 @@
 	return submitReply{Verdict: o.Verdict, State: o.State, Reason: o.Reason, After: span.Of(o.RetryAfter)}
 }
 
-type leaveNotice struct {
-	Name   string `json:"name"` // id of the job
-	Caller string `json:"caller"`
-}
-
 type query struct {
 	Name string `json:"name"` // id of a job or name of a queue
 }
--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -47,11 +47,19 @@
 
 	cancelled func() eventloop.Cancelled // reply to a cancellation
 
+	leave func(n int) error // reply to the n-th notice that a caller no longer waits; nil takes it
+
 	mu   sync.Mutex
 	seen []cell.Submission
 	left int // notices that a caller no longer waits
 }
 
+func (h *holder) leaveCount() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.left
+}
+
 func (h *holder) submissions() []cell.Submission {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -75,6 +83,9 @@
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.left++
+		if h.leave != nil {
+			return struct{}{}, h.leave(h.left)
+		}
 		return struct{}{}, nil
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/core/proxy/submit.go
+++ b/core/proxy/submit.go
@@ -138,15 +138,4 @@
 	}
 }
 
-// notifyLeave notifies the holder that a caller no longer waits.
-func (p *Proxy) notifyLeave(id, caller string) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	_, err := p.callHolder(ctx, methodLeave, leaveNotice{id, caller}, nil, func(_ context.Context, l *eventloop.Loop) error {
-		l.Leave(id, caller)
-		return nil
-	})
-	_ = p.Log.Log("event", "leave", "job", id, "caller", caller, "err", err)
-}
-
 var _ election.Leader = (*Proxy)(nil)
--- a/gypsumward/hosted/participant.go
+++ b/gypsumward/hosted/participant.go
@@ -64,6 +64,7 @@
 	p.proxy = &proxy.Proxy{
 		Cell: p.name, Zone: c.Zone, Self: h.self, Elector: p.elector, Client: h.client, Store: h.store, Clock: h.clock,
 		Log: p.log, HeldCells: h.cellsHeld, NewLoop: func(t election.Term) *eventloop.Loop { return h.newLoop(p, t) },
+		ResubmitAfter: h.bounds().ResubmitAfter, Count: h.metrics.Count,
 	}
 	p.elector.Self, p.elector.Store, p.elector.Clock = h.self, h.store, h.clock
 	p.elector.Leader, p.elector.Log, p.elector.ConnectionRefused = p.proxy, p.log, refusesConn
