proxy: make no further attempt after the caller's time is over

What callers saw: a job could be submitted to a holder for a client that had given up during a pause of the entry instance, and had submitted it elsewhere.

Cause: the end of the caller's time was looked at after an attempt, before the wait for the next one. A pause in that wait went unnoticed.

Fix: it is looked at before each attempt, with the clock reading that gives the age of the submission. If an earlier attempt may have been handled, the outcome is unknown as before, otherwise a refusal.

TestNoAttemptAfterPause failed before: paused at read 4, an attempt with an age of 4012 ms was sent for a caller that waits 1500 ms.

--- a/core/proxy/submit.go
+++ b/core/proxy/submit.go
@@ -38,9 +38,13 @@
 	var err error
 	opened := "" // why a holder may have the job without having said so
 	for attempt := 1; ; attempt++ {
+		now := p.Clock.Now()
+		if ctx.Err() != nil || deadline.Passed(now) { // also after a pause of the process
+			break
+		}
 		var o cell.Outcome
 		var maybeHandled bool
-		submission.AgeMS = p.Clock.Now().Sub(arrived).Milliseconds()
+		submission.AgeMS = now.Sub(arrived).Milliseconds()
 		submission.RoomOnly = roomOnly && !submission.Resubmitted
 		submission.Caller = caller + cell.AttemptSeparator + strconv.Itoa(attempt)
 		o, maybeHandled, err = p.submitOnce(ctx, submission)
@@ -54,7 +58,7 @@
 			submission.Resubmitted, opened = true, openedBy(attempt, o, err)
 		}
 		p.Elector.Refresh()
-		if ctx.Err() != nil || deadline.Passed(p.Clock.Now()) || (!submission.Resubmitted && p.Clock.Now().After(limit)) {
+		if !submission.Resubmitted && p.Clock.Now().After(limit) {
 			break
 		}
 		p.awaitRetry(ctx)
