cell: the outcome of a job with runs here is unknown while the cell is handed over

What callers saw: a job of which a former holder had left runs here counted as not accepted by a cell that was being handed over. Its instance gave the cell up after at most 0.4 s and submitted the job to another cell, where it could start beside these runs.

Cause: a refusal took the runs left here into account, the verdict HandingOver did not.

Fix: the verdict is OutcomeUnknown, after which the job is submitted to no other cell.

TestHandingOverWithRuns failed before: expected 0 (OutcomeUnknown), actual 3 (HandingOver).

--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -44,8 +44,10 @@
 		c.addWaiter(j, submission.Caller, reply)
 		return
 	}
+	// A job with runs here must not be refused: a caller could start it elsewhere.
+	hasRuns := len(c.unclaimedRuns(w.ID)) > 0
 	if c.draining {
-		reply(Outcome{Verdict: HandingOver})
+		reply(Outcome{Verdict: drainingVerdict(hasRuns)})
 		return
 	}
 	if !w.Transient && len(encode(&w)) > c.Settings.MaxRow {
@@ -55,8 +57,7 @@
 		return
 	}
 	j := newJob(w, now.Add(-time.Duration(submission.AgeMS)*time.Millisecond))
-	// A job with runs here must not be refused: a caller could start it elsewhere.
-	j.inherited = submission.Resubmitted || len(c.unclaimedRuns(w.ID)) > 0
+	j.inherited = submission.Resubmitted || hasRuns
 	if reason, after := c.refusalReason(now, j); reason != "" {
 		c.Metrics.Count("refused_"+reason, 1)
 		c.log("event", "refuse", "job", w.ID, "queue", w.Queue.Name, "reason", reason, "tasks", w.TaskCount(),
@@ -86,6 +87,15 @@
 	c.schedulePass()
 }
 
+// drainingVerdict returns the verdict of a cell that is being handed over on a job that it doesn't
+// know. HandingOver would let the caller start a job elsewhere beside its runs here.
+func drainingVerdict(hasRuns bool) Verdict {
+	if hasRuns {
+		return OutcomeUnknown
+	}
+	return HandingOver
+}
+
 // addWaiter replies with the outcome of a known job, or lets the caller wait for it.
 func (c *Cell) addWaiter(j *job, caller string, reply func(Outcome)) {
 	c.log("event", "attach", "job", j.ID, "caller", caller, "state", string(j.state), "begun", j.hasStarted(), "waiting", len(j.waiting))
