cell: do not start a transient job again whose cancellation was acknowledged

What callers saw: a transient job ran after its cancellation had been acknowledged, if its outcome was lost on a reset link: its instance submitted it again, as after every attempt whose result is not known, and the holder started it anew.

Cause: a transient job that ends cancelled since its caller was lost has to start when it is submitted again; one that was cancelled by request ended the same way.

Fix: the end of a job that nobody waited for is marked. Only such a job starts again; the outcome of one cancelled by request is repeated.

TestCancelledNotStartedAgain failed before: the second submission had no outcome, as the job ran. TestLeftStartedAgain held before: a job that was left starts again, and not beside its former runs.

--- a/core/cell/ended.go
+++ b/core/cell/ended.go
@@ -13,6 +13,7 @@
 	state   work.State
 	at      time.Time
 	version int64 // version of its row; zero if it has none
+	left    bool  // the job is transient and was cancelled since nobody waited for it
 }
 
 // endedJobs holds the ends of jobs for as long as they are reported.
@@ -27,6 +28,13 @@
 	e.byEndTime = append(e.byEndTime, id)
 }
 
+// markLeft records that a transient job was cancelled since nobody waited for it.
+func (e *endedJobs) markLeft(id string) {
+	end := e.jobs[id]
+	end.left = true
+	e.jobs[id] = end
+}
+
 // sweep removes the ends that are older than keep, and calls removeRow for those that have
 // a row.
 func (e *endedJobs) sweep(now time.Time, keep time.Duration, removeRow func(id string, version int64)) {
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -30,7 +30,7 @@
 		reply(Outcome{Verdict: OutcomeUnknown})
 		return
 	}
-	if end, ok := c.endedJobs.jobs[w.ID]; ok && (end.state != work.Cancelled || !w.Transient) {
+	if end, ok := c.endedJobs.jobs[w.ID]; ok && !end.left {
 		reply(Outcome{Verdict: Accepted, State: end.state})
 		return
 	}
@@ -191,6 +191,7 @@
 	if j.Transient && len(j.waiting) == 0 && !j.state.Ended() {
 		c.log("event", "left", "job", id, "caller", caller, "begun", j.hasStarted(), "runs", j.runCount(), "lease", j.longestLease(now))
 		c.finish(now, j, work.Cancelled)
+		c.endedJobs.markLeft(id)
 		c.schedulePass()
 	}
 }
