cell: a cancellation takes effect on a job that was left and submitted again

What callers saw: the cancellation of a transient job was acknowledged, and the job went on, if its first caller had left it and another had submitted it again.

Cause: the holder answered with the end of the job that it had recorded when the first caller left, without a look whether the job is there again. If it wasn't, a later submission started it after the acknowledgement.

Fix: the recorded end answers only if the job isn't running again, and then counts as cancelled by request.

TestCancelOfJobStartedAgain failed before: cancelled_test.go:94, the run of task 0 0 0 was still there a second after.

--- a/core/cell/cancelled_test.go
+++ b/core/cell/cancelled_test.go
@@ -62,3 +62,37 @@
 	require.Equal(t, cell.Outcome{Verdict: cell.Accepted, State: work.Succeeded}, last)
 	require.Empty(t, w.violations)
 }
+
+// TestCancelOfJobStartedAgain guards against an acknowledged cancellation that has no effect: the job
+// was left by its first caller, and cancelled for that, and submitted again.
+func TestCancelOfJobStartedAgain(t *testing.T) {
+	t.Parallel()
+	for _, startedAgain := range []bool{true, false} {
+		w := newWorld(1, 1, 32000)
+		p := w.takeOver()
+		w.run(time.Second)
+		j := newJob(1, true, work.Step{Count: 1, CPU: 14000, Estimate: 60000})
+		w.submitted[j.ID] = j
+		submit := func(caller string) (o cell.Outcome) {
+			p.exec(func() {
+				p.cell.Submit(w.now, cell.Submission{Job: *j, Caller: caller}, func(v cell.Outcome) { o = v })
+			})
+			w.run(500 * time.Millisecond)
+			return o
+		}
+		submit("a#1")
+		p.exec(func() { p.cell.CallerLeft(w.now, j.ID, "a#1") })
+		w.run(time.Second)
+		if startedAgain {
+			submit("b#1")
+			require.Len(t, w.runners["r0"].runs, 1)
+		}
+		var state work.State
+		p.exec(func() { p.cell.Cancel(w.now, j.ID, func(s work.State, _ bool) { state = s }) })
+		require.Equal(t, work.Cancelled, state)
+		w.run(time.Second)
+		require.Empty(t, w.runners["r0"].runs)
+		require.Equal(t, cell.Outcome{Verdict: cell.Accepted, State: work.Cancelled}, submit("c#1"))
+		require.Empty(t, w.runners["r0"].runs)
+	}
+}
--- a/core/cell/ended.go
+++ b/core/cell/ended.go
@@ -28,10 +28,11 @@
 	e.byEndTime = append(e.byEndTime, id)
 }
 
-// markLeft records that a transient job was cancelled since nobody waited for it.
-func (e *endedJobs) markLeft(id string) {
+// setLeft records whether a transient job was cancelled only since nobody waited for it. The job
+// must have ended.
+func (e *endedJobs) setLeft(id string, left bool) {
 	end := e.jobs[id]
-	end.left = true
+	end.left = left
 	e.jobs[id] = end
 }
 
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -191,7 +191,7 @@
 	if j.Transient && len(j.waiting) == 0 && !j.state.Ended() {
 		c.log("event", "left", "job", id, "caller", caller, "begun", j.hasStarted(), "runs", j.runCount(), "lease", j.longestLease(now))
 		c.finish(now, j, work.Cancelled)
-		c.endedJobs.markLeft(id)
+		c.endedJobs.setLeft(id, true)
 		c.schedulePass()
 	}
 }
@@ -277,11 +277,12 @@
 // before. It is Unknown and stored if the cell knows all jobs that are stored and this one is
 // not among them, and Unknown and not stored if the outcome is open.
 func (c *Cell) Cancel(now time.Time, id string, reply func(state work.State, stored bool)) {
-	if end, ok := c.endedJobs.jobs[id]; ok {
+	j := c.jobs[id]
+	if end, ok := c.endedJobs.jobs[id]; ok && (j == nil || j.state.Ended()) {
+		c.endedJobs.setLeft(id, false)
 		reply(end.state, true)
 		return
 	}
-	j := c.jobs[id]
 	switch {
 	case c.deposed:
 		reply(work.Unknown, false)
