--- a/core/cell/ended.go
+++ b/core/cell/ended.go
@@ -14,6 +14,7 @@
 	at      time.Time
 	version int64 // version of its row; zero if it has none
 	lastRun int   // highest number of its runs; zero if it is not known
+	left    bool  // the job is transient and was cancelled since nobody waited for it
 }
 
 // endedJobs holds the ends of jobs for as long as they are reported.
@@ -28,6 +29,14 @@
 	e.byEndTime = append(e.byEndTime, id)
 }
 
+// setLeft records whether a transient job was cancelled only since nobody waited for it. The job
+// must have ended.
+func (e *endedJobs) setLeft(id string, left bool) {
+	end := e.jobs[id]
+	end.left = left
+	e.jobs[id] = end
+}
+
 // sweep removes the ends that are older than keep, and calls removeRow for those that have
 // a row.
 func (e *endedJobs) sweep(now time.Time, keep time.Duration, removeRow func(id string, version int64)) {
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -30,7 +30,7 @@
 		reply(Outcome{Verdict: OutcomeUnknown})
 		return
 	}
-	if end, ok := c.endedJobs.jobs[w.ID]; ok && (end.state != work.Cancelled || !w.Transient) {
+	if end, ok := c.endedJobs.jobs[w.ID]; ok && !end.left {
 		reply(Outcome{Verdict: Accepted, State: end.state})
 		return
 	}
@@ -44,8 +44,10 @@
 		c.addWaiter(j, submission.Caller, reply)
 		return
 	}
+	// A job with runs here must not be refused: a caller could start it elsewhere.
+	hasRuns := len(c.unclaimedRuns(w.ID)) > 0
 	if c.draining {
-		reply(Outcome{Verdict: HandingOver})
+		reply(Outcome{Verdict: drainingVerdict(hasRuns)})
 		return
 	}
 	if !w.Transient && len(encode(&w)) > c.Settings.MaxRow {
@@ -55,8 +57,7 @@
 		return
 	}
 	j := newJob(w, now.Add(-time.Duration(submission.AgeMS)*time.Millisecond))
-	// A job with runs here must not be refused: a caller could start it elsewhere.
-	j.inherited = submission.Resubmitted || len(c.unclaimedRuns(w.ID)) > 0
+	j.inherited = submission.Resubmitted || hasRuns
 	if reason, after := c.refusalReason(now, j); reason != "" {
 		c.Metrics.Count("refused_"+reason, 1)
 		c.log("event", "refuse", "job", w.ID, "queue", w.Queue.Name, "reason", reason, "tasks", w.TaskCount(),
@@ -82,6 +83,15 @@
 	c.schedulePass()
 }
 
+// drainingVerdict returns the verdict of a cell that is being handed over on a job that it doesn't
+// know. HandingOver would let the caller start a job elsewhere beside its runs here.
+func drainingVerdict(hasRuns bool) Verdict {
+	if hasRuns {
+		return OutcomeUnknown
+	}
+	return HandingOver
+}
+
 // addWaiter replies with the outcome of a known job, or lets the caller wait for it.
 func (c *Cell) addWaiter(j *job, caller string, reply func(Outcome)) {
 	c.log("event", "attach", "job", j.ID, "caller", caller, "state", string(j.state), "begun", j.hasStarted(), "waiting", len(j.waiting))
@@ -184,6 +194,7 @@
 		c.log("event", "left", "job", id, "caller", caller, "begun", j.hasStarted(), "runs", j.runCount(), "lease", j.longestLease(now))
 		c.boundRuns(j, lost.Add(c.Settings.ResubmitAfter))
 		c.finish(now, j, work.Cancelled)
+		c.endedJobs.setLeft(id, true)
 		c.schedulePass()
 	}
 }
@@ -281,11 +292,12 @@
 // before. It is Unknown and stored if the cell knows all jobs that are stored and this one is
 // not among them, and Unknown and not stored if the outcome is open.
 func (c *Cell) Cancel(now time.Time, id string, reply func(state work.State, stored bool)) {
-	if end, ok := c.endedJobs.jobs[id]; ok {
+	j := c.jobs[id]
+	if end, ok := c.endedJobs.jobs[id]; ok && (j == nil || j.state.Ended()) {
+		c.endedJobs.setLeft(id, false)
 		reply(end.state, true)
 		return
 	}
-	j := c.jobs[id]
 	switch {
 	case c.deposed:
 		reply(work.Unknown, false)
