--- a/core/cell/departure_test.go
+++ b/core/cell/departure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -120,3 +121,40 @@
 		}
 	}
 }
+
+// TestRunsOfLeftCallersUnderLosses guards against runs that outlast their caller while replies to
+// orders are lost, orders are carried out seconds late, and all stops to a runner are lost for a time.
+func TestRunsOfLeftCallersUnderLosses(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(20) {
+		w := newWorld(seed, 3, 32000)
+		p := w.takeOver()
+		w.run(time.Second)
+		w.faults.lostReply, w.faults.delayedOrder = 0.1, 0.1
+		left := 0
+		for i := range 60 {
+			j := newJob(i+1, true, work.Step{Count: 2, CPU: 4000, Estimate: 1500})
+			w.submit(j)
+			w.run(time.Duration(w.rng.Int64N(int64(120 * time.Millisecond))))
+			if i%3 != 0 || !w.callerWaits[j.ID] {
+				continue
+			}
+			left++
+			r := w.runners["r"+strconv.Itoa(w.rng.IntN(3))]
+			r.losesStops = true
+			w.after(time.Duration(w.rng.Int64N(int64(2*time.Second))), func() { r.losesStops = false })
+			w.callerWaits[j.ID] = false
+			p.exec(func() { p.cell.CallerLeft(w.now, j.ID, j.ID+"/0") })
+			w.after(cell.DefaultResubmitAfter, func() {
+				for _, r := range w.runners {
+					for index := range 2 {
+						require.NotContains(t, r.runs, work.Task{Job: j.ID, Index: index}, "seed %d, job %s", seed, j.ID)
+					}
+				}
+			})
+		}
+		w.run(20 * time.Second)
+		require.Equal(t, 20, left)
+		require.Empty(t, w.violations)
+	}
+}
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -217,7 +217,7 @@
 	r.clockAt = now
 	r.unackedEnds, r.ended, r.endsTruncated = map[int64]bool{}, endedRuns{}, false
 	r.confirmedHold, r.lastStoredStart = time.Time{}, time.Time{}
-	r.health = health{}
 	r.restarted = true
+	r.health = health{}
 	c.fence(now, r)
 }
