--- a/core/proxy/leave.go
+++ b/core/proxy/leave.go
@@ -16,7 +16,7 @@
 const (
 	leaveRetryInterval = 50 * time.Millisecond
 	leaveCheckInterval = 250 * time.Millisecond // between checks for a next holder, of a notice that one has taken
-	maxLeaveNotices    = 2048 // of one cell that are sent at a time; further ones are given up
+	maxLeaveNotices    = 2048                   // of one cell that are sent at a time; further ones are given up
 )
 
 const errTooManyNotices = errors.ConstError("too many notices are being sent")
