cell: the state of a job that runs again is not that of its earlier end

What callers saw: the state cancelled for a transient job that ran: its first caller had left, and another one has submitted it again.

TestStateOfJobStartedAgain failed: cancelled in place of running.

--- a/core/cell/cancelled_test.go
+++ b/core/cell/cancelled_test.go
@@ -96,3 +96,27 @@
 		require.Empty(t, w.runners["r0"].runs)
 	}
 }
+
+// TestStateOfJobStartedAgain guards against a job that is reported as cancelled while it runs: it was
+// left by its first caller, and submitted again.
+func TestStateOfJobStartedAgain(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 1, 32000)
+	p := w.takeOver()
+	w.run(time.Second)
+	j := newJob(1, true, work.Step{Count: 1, CPU: 14000, Estimate: 60000})
+	w.submitted[j.ID] = j
+	state := func() (state work.State) {
+		p.exec(func() { p.cell.QueryState(w.now, j.ID, func(s work.State) { state = s }) })
+		w.run(time.Second)
+		return state
+	}
+	p.exec(func() { p.cell.Submit(w.now, cell.Submission{Job: *j, Caller: "a#1"}, func(cell.Outcome) {}) })
+	w.run(500 * time.Millisecond)
+	p.exec(func() { p.cell.CallerLeft(w.now, j.ID, "a#1") })
+	w.run(time.Second)
+	require.Equal(t, work.Cancelled, state())
+	p.exec(func() { p.cell.Submit(w.now, cell.Submission{Job: *j, Caller: "b#1"}, func(cell.Outcome) {}) })
+	w.run(500 * time.Millisecond)
+	require.Equal(t, work.Running, state())
+}
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -253,7 +253,7 @@
 	j := c.jobs[id]
 	end, ok := c.endedJobs.jobs[id]
 	switch {
-	case ok:
+	case ok && (j == nil || j.state.Ended()):
 		reply(end.state)
 	case j == nil || !j.row.stored:
 		reply(work.Unknown)
--- a/scripts/mechanisms.py
+++ b/scripts/mechanisms.py
@@ -29,7 +29,7 @@
 ('failures counted twice',' || slices.Contains(t.failedRuns, e.Run)',''),
 ('runs released as soon as a runner is silent',' || !r.leasesLapsed(now, c.Settings.Lease)',''),
 ('restart of a runner not detected','if h.Incarnation > r.incarnation && r.incarnation != 0 {','if false {'),
-('run numbers start at one in each term','t.runFloor = (c.Term.TermNumber - 1) * runsPerTerm','t.runFloor = 0 * runsPerTerm'),
+('run numbers start at one in each term','j.setRunFloor(max((c.Term.TermNumber-1)*runsPerTerm, ','j.setRunFloor(max(0, '),
 ('token kept when a runner restarts','	r.health = health{}\n	c.fence(now, r)','	r.health = health{}\n	c.sendHold(now, r, 0)'),
 ('runs with unanswered starts released','		c.fence(now, x.runner)\n		return false','		c.release(x)\n		return false'),
 ('stopped runs released at once','	c.Orders.Stop(x.runner.target()','	c.release(x)\n	c.Orders.Stop(x.runner.target()'),
