--- a/core/cell/orphan_test.go
+++ b/core/cell/orphan_test.go
@@ -73,6 +73,32 @@
 	}
 }
 
+// TestOrphansOfCallerLostEarlier guards against runs of a transient job that outlast the resubmission
+// of its caller, which was lost some time before the holder, unnoticed.
+func TestOrphansOfCallerLostEarlier(t *testing.T) {
+	t.Parallel()
+	for _, earlier := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond, 800 * time.Millisecond} {
+		t.Run(earlier.String(), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(1, 2, 32000)
+			w.takeOver()
+			j := newJob(1, true, work.Step{Count: 2, CPU: 14000, Estimate: 60000})
+			w.run(time.Second)
+			w.submit(j)
+			w.run(time.Second)
+			w.callerWaits[j.ID] = false
+			lost := w.now
+			w.run(earlier)
+			w.holder().kill()
+			w.run(w.holder().aliveAt.Add(700 * time.Millisecond).Sub(w.now))
+			w.takeOver()
+			w.run(max(0, lost.Add(cell.DefaultResubmitAfter).Sub(w.now)))
+			require.Empty(t, w.runners["r0"].runs)
+			require.Empty(t, w.runners["r1"].runs)
+		})
+	}
+}
+
 // TestOrphansSpareOthers guards against an orphaned run that is stopped so late that the lease of its
 // runner, which must not outlive the time of its caller, ends the other runs there too.
 func TestOrphansSpareOthers(t *testing.T) {
