eventloop: do not submit a job whose client has closed its connection

What callers saw: a job could be accepted by the cell of the instance that took it from the client though the client's connection was closed, and be stopped some ms later; the client may have submitted it to another cell at once.

Cause: the connection is looked at before the job is passed on. A submission to a cell of the same instance then waits in the queue of its loop, and the context of the request ends only when the goroutine of net/http that reads the connection has run, which a busy machine delays.

Fix: the connection is looked at again right before the submission takes effect. The verdict is OutcomeUnknown, after which the job goes to no other cell.

--- a/core/eventloop/submit.go
+++ b/core/eventloop/submit.go
@@ -5,11 +5,13 @@
 	"time"
 
 	"gypsumward/core/cell"
+	"gypsumward/core/hangup"
 )
 
 // Submit submits a job to the cell and waits for the outcome. The error is ErrQueueFull
 // if the job was not submitted, ErrTermOver if the term ended without an outcome, or that
-// of ctx. A job is not submitted after ctx has ended.
+// of ctx. A job is not submitted after ctx has ended, or if the connection that ctx carries is
+// closed (see package hangup); the verdict is then cell.OutcomeUnknown.
 func (l *Loop) Submit(ctx context.Context, submission cell.Submission) (cell.Outcome, error) {
 	m := submitMessage{ctx: ctx, submission: submission, reply: make(chan cell.Outcome, 1)}
 	return request(ctx, l, m, m.reply)
@@ -25,6 +27,10 @@
 	if m.ctx.Err() != nil {
 		return
 	}
+	if hangup.Closed(m.ctx) {
+		m.reply <- cell.Outcome{Verdict: cell.OutcomeUnknown}
+		return
+	}
 	c.Submit(now, m.submission, func(o cell.Outcome) { m.reply <- o })
 }
 
