proxy: make no further attempt after the client has closed its connection

What callers saw: a job could be submitted to the next holder, or again to one that was being handed over, for a client whose connection was closed.

Cause: between two attempts only the context of the request was looked at. It ends when the goroutine of net/http that reads the connection has run, which a busy machine delays.

Fix: the connection is looked at before each attempt, as in core/overflow before each cell. If an earlier attempt may have been handled, the outcome is unknown and the holder is notified, as when the context has ended.

--- a/core/proxy/submit.go
+++ b/core/proxy/submit.go
@@ -8,6 +8,7 @@
 	"gypsumward/core/cell"
 	"gypsumward/core/election"
 	"gypsumward/core/eventloop"
+	"gypsumward/core/hangup"
 	"gypsumward/core/monotonic"
 	"gypsumward/core/work"
 )
@@ -28,8 +29,9 @@
 
 // Submit submits a job that arrived at the given time and returns the outcome, a refusal if
 // roomOnly is true and not all of its first tasks can start at once. It tries one holder
-// after the other until one returns a final outcome or ctx ends. If it gives up while a
-// holder may have the job, it notifies the holder that the caller no longer waits.
+// after the other until one returns a final outcome, ctx ends, or the connection that ctx carries
+// is closed (see package hangup). If it gives up while a holder may have the job, it notifies the
+// holder that the caller no longer waits.
 func (p *Proxy) Submit(ctx context.Context, j work.Job, arrived time.Time, roomOnly bool) cell.Outcome {
 	submission := cell.Submission{Job: j}
 	caller := p.Self.Incarnation + "/" + strconv.FormatInt(p.submissions.Add(1), 10)
@@ -39,7 +41,7 @@
 	opened := "" // why a holder may have the job without having said so
 	for attempt := 1; ; attempt++ {
 		now := p.Clock.Now()
-		if ctx.Err() != nil || deadline.Passed(now) { // also after a pause of the process
+		if ctx.Err() != nil || hangup.Closed(ctx) || deadline.Passed(now) { // also after a pause of the process
 			break
 		}
 		var o cell.Outcome
