peer, proxy: do not send a call whose client has closed its connection

What callers saw: a job could be submitted to a holder for a client whose connection had been reset while the call waited for a new connection to that holder. One disturbance resets both.

Cause: a call that had waited for a connection, or behind other calls, looked at its context alone. That ends when the goroutine of net/http that reads the connection of the client has run, which a busy machine delays.

Fix: the connection is looked at right before the call is sent; the call is certainly not sent then. Such a call says nothing about the holder, and isn't recorded as one that did not reach it.

Tests: TestCallOfClosedConnectionNotSent failed before with "ran" in place of "notrun". TestClosedConnectionSparesHolder failed with the change of package peer alone: the holder counted as not connected.

Run: go test -race -count=3 ./proxy ./peer, ok.

--- a/core/peer/conn.go
+++ b/core/peer/conn.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"gypsumward/core/api"
+	"gypsumward/core/hangup"
 )
 
 // clientConn is a connection to a peer.
@@ -61,8 +62,9 @@
 	c.lastUsed.Store(time.Now().UnixNano())
 }
 
-// call sends a call and waits for the response. It is not sent after ctx has ended. The second
-// result reports whether the call was certainly not sent because the connection was closed.
+// call sends a call and waits for the response. It is not sent after ctx has ended, or if the
+// connection that ctx carries is closed (see package hangup). The second result reports whether the
+// call was certainly not sent because the connection to the peer was closed.
 func (c *clientConn) call(ctx context.Context, method string, params json.RawMessage, result any) (*Fault, bool) {
 	id, sent := c.register()
 	done := make(chan error, 1)
@@ -80,6 +82,9 @@
 	case <-ctx.Done():
 		return &Fault{Ran: api.RanUnknown, Text: ctx.Err().Error()}, false
 	}
+	if errors.Is(err, errCallerGone) {
+		return notRun(err), false
+	}
 	if errors.Is(err, jsonrpc2.ErrClosed) && !sent.Load() {
 		c.forget(id)
 		return notRun(errClosed), true
@@ -93,7 +98,9 @@
 	return nil, false
 }
 
-// send sends a call once those before it have been sent, unless ctx ends first.
+const errCallerGone = errors.ConstError("the connection of the caller is closed")
+
+// send sends a call once those before it have been sent, unless its caller is gone by then.
 func (c *clientConn) send(ctx context.Context, id uint64, method string, params json.RawMessage) (jsonrpc2.Waiter, error) {
 	select {
 	case c.sending <- struct{}{}:
@@ -104,6 +111,10 @@
 		c.forget(id)
 		return jsonrpc2.Waiter{}, ctx.Err()
 	}
+	if hangup.Closed(ctx) {
+		c.forget(id)
+		return jsonrpc2.Waiter{}, errCallerGone
+	}
 	m := meta{Timestamp: c.link.client.Clock.Now(), Timeout: timeLeft(ctx)}
 	return c.rpc.DispatchCall(ctx, method, params, jsonrpc2.PickID(jsonrpc2.ID{Num: id}), jsonrpc2.Meta(m))
 }
--- a/core/peer/unsent_test.go
+++ b/core/peer/unsent_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumward/core/api"
+	"gypsumward/core/hangup"
 	"gypsumward/core/hlc"
 	"gypsumward/core/peer"
 )
@@ -59,3 +60,33 @@
 	cancel()
 	<-served
 }
+
+// TestCallOfClosedConnectionNotSent guards against a call that is sent for a client whose connection
+// was closed while the call waited for a connection to the peer.
+func TestCallOfClosedConnectionNotSent(t *testing.T) {
+	t.Parallel()
+	i := newInstance()
+	addr, _ := start(t, i, "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, listener.Close()) }()
+	outer, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	accepted, err := listener.Accept()
+	require.NoError(t, err)
+	defer func() { _ = accepted.Close() }()
+	connected := hangup.WithConn(t.Context(), accepted)
+	client := newClient(t)
+	client.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		_ = outer.Close()
+		for !hangup.Closed(connected) {
+			time.Sleep(time.Millisecond)
+		}
+		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	}
+	require.Equal(t, api.RanNot, peer.Ran(client.Call(connected, addr, "take", order{ID: "a"}, nil)))
+	require.NoError(t, client.Call(t.Context(), addr, "take", order{ID: "b"}, nil))
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	require.Equal(t, map[string]int{"b": 1}, i.counts)
+}
--- a/core/proxy/closed_test.go
+++ b/core/proxy/closed_test.go
@@ -48,3 +48,29 @@
 	require.Equal(t, cell.Refused, o.Verdict)
 	require.Len(t, h.submissions(), 1)
 }
+
+// TestClosedConnectionSparesHolder guards against a holder that counts as unreachable since a client
+// has closed its connection.
+func TestClosedConnectionSparesHolder(t *testing.T) {
+	t.Parallel()
+	c := newCaller(t)
+	client, server := connect(t)
+	connected := hangup.WithConn(t.Context(), server)
+	dial := c.Client.Dial
+	c.Client.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		_ = client.Close()
+		for !hangup.Closed(connected) {
+			time.Sleep(time.Millisecond)
+		}
+		return dial(ctx, addr)
+	}
+	h := startHolder(t, func(context.Context, cell.Submission) (reply, error) {
+		return reply{Verdict: cell.Accepted}, nil
+	})
+	c.follow(h.addr)
+	o := c.Submit(connected, newJob(1200), time.Now(), false)
+	require.Equal(t, cell.Refused, o.Verdict)
+	require.Empty(t, h.submissions())
+	require.True(t, c.Connected())
+	require.Zero(t, c.FailingSince())
+}
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -15,6 +15,7 @@
 	"gypsumward/core/election"
 	"gypsumward/core/eventloop"
 	"gypsumward/core/fingerprint"
+	"gypsumward/core/hangup"
 	"gypsumward/core/peer"
 	"gypsumward/core/promise"
 	"gypsumward/core/span"
@@ -361,7 +362,7 @@
 			return false, ErrNoHolder
 		}
 		err = p.Client.Call(ctx, h.Addr, p.method(method), params, result)
-		if err == nil || ctx.Err() == nil {
+		if err == nil || (ctx.Err() == nil && !hangup.Closed(ctx)) {
 			p.recordCall(version, err == nil || isBusy(err))
 		}
 		if err != nil {
