cell, proxy: the time since a caller has left counts from its leaving, not from the notice

What callers saw: a run of a transient job could go on up to 1.3 s after a late notice that its caller had left, if the stop order was lost, while the client had submitted the job again, possibly to another cell.

Cause: a notice is sent until a holder has taken it, up to 1.3 s. The holder took its arrival for the time at which the caller had left.

Fix: the notice states the time since then, and the wait in the queue of the loop counts too. An order no longer extends a lease beyond 1.3 s after the caller has left. As before, a lease that was granted earlier, of up to 1 s, is not shortened. An entry instance that was paused still counts from when it noticed the loss.

TestLeaveNoticeStatesAge failed: age 0 in place of at least 350 ms.

Run: go test ./cell, ok; go test -race ./proxy ./eventloop ./resubmit, ok.

--- a/core/cell/departure_test.go
+++ b/core/cell/departure_test.go
@@ -21,6 +21,9 @@
 	bound time.Duration
 }{
 	{"left", (*cell.Cell).CallerLeft, cell.DefaultResubmitAfter},
+	{"left a second ago", func(c *cell.Cell, now time.Time, id, caller string) {
+		c.CallerLeftBefore(now, now.Add(-time.Second), id, caller)
+	}, cell.DefaultLease},
 	{"attempt lost", (*cell.Cell).AttemptLost, cell.DefaultLease},
 }
 
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -157,10 +157,14 @@
 // CallerLeft records that a caller no longer waits for a job, whatever the attempt. A
 // transient job without waiting callers is cancelled. Submissions of the caller that arrive later
 // are not accepted.
-func (c *Cell) CallerLeft(now time.Time, id, caller string) {
+func (c *Cell) CallerLeft(now time.Time, id, caller string) { c.CallerLeftBefore(now, now, id, caller) }
+
+// CallerLeftBefore is like CallerLeft for a caller that left at a time before now. That time bounds
+// how long runs of the job may go on.
+func (c *Cell) CallerLeftBefore(now, left time.Time, id, caller string) {
 	name := attemptless(caller)
 	c.departed.add(now, departed{id, name})
-	c.removeWaiters(now, now, id, caller, func(w waiter) bool { return attemptless(w.caller) == name })
+	c.removeWaiters(now, left, id, caller, func(w waiter) bool { return attemptless(w.caller) == name })
 }
 
 // lossNoticeMargin is the least time from when an instance is found to be lost until its callers may
--- a/core/eventloop/submit.go
+++ b/core/eventloop/submit.go
@@ -34,9 +34,11 @@
 	c.Submit(now, m.submission, func(o cell.Outcome) { m.reply <- o })
 }
 
-// Leave notifies the cell that a caller of Submit no longer waits. It returns false if the term is
-// over.
-func (l *Loop) Leave(id, caller string) bool { return l.Post(leaveMessage{id, caller}) }
+// Leave notifies the cell that a caller of Submit no longer waits, since a time ago. It returns false
+// if the term is over.
+func (l *Loop) Leave(id, caller string, ago time.Duration) bool {
+	return l.Post(leaveMessage{id, caller, l.Clock.Now().Add(-ago)})
+}
 
 // Abandon notifies the cell that nobody waits for one attempt of a submission any more.
 func (l *Loop) Abandon(id, caller string) { l.Post(abandonMessage{id, caller}) }
@@ -45,6 +47,11 @@
 
 func (m abandonMessage) Apply(c *cell.Cell, now time.Time) { c.AttemptLost(now, m.id, m.caller) }
 
-type leaveMessage struct{ id, caller string }
+type leaveMessage struct {
+	id, caller string
+	left       time.Time
+}
 
-func (m leaveMessage) Apply(c *cell.Cell, now time.Time) { c.CallerLeft(now, m.id, m.caller) }
+func (m leaveMessage) Apply(c *cell.Cell, now time.Time) {
+	c.CallerLeftBefore(now, m.left, m.id, m.caller)
+}
--- a/core/proxy/leave.go
+++ b/core/proxy/leave.go
@@ -25,6 +25,7 @@
 type leaveNotice struct {
 	Name   string `json:"name"` // id of the job
 	Caller string `json:"caller"`
+	AgeMS  int64  `json:"age,omitempty"` // milliseconds since the caller left
 }
 
 // notifyLeave notifies the holder, without waiting for it, that a caller no longer waits. The
@@ -36,11 +37,12 @@
 		p.giveUpNotice(id, caller, errTooManyNotices)
 		return
 	}
+	left := p.Clock.Now()
 	go func() {
 		defer p.leaving.Add(-1)
 		ctx, cancel := context.WithTimeout(context.Background(), p.resubmitAfter())
 		defer cancel()
-		p.sendNotice(ctx, leaveNotice{id, caller})
+		p.sendNotice(ctx, leaveNotice{Name: id, Caller: caller}, left)
 	}()
 }
 
@@ -52,8 +54,9 @@
 	return cell.DefaultResubmitAfter
 }
 
-// sendNotice sends a notice to the holder, and to each next one, until ctx ends.
-func (p *Proxy) sendNotice(ctx context.Context, notice leaveNotice) {
+// sendNotice sends a notice of a caller that left at the given time to the holder, and to each next
+// one, until ctx ends.
+func (p *Proxy) sendNotice(ctx context.Context, notice leaveNotice, left time.Time) {
 	taken := false
 	takenBy := int64(0) // version of the row of the holder that has taken it last
 	var err error
@@ -67,6 +70,7 @@
 			p.awaitHolder(ctx, leaveRetryInterval)
 			continue
 		}
+		notice.AgeMS = p.Clock.Now().Sub(left).Milliseconds()
 		if err = p.callLeave(ctx, notice); err != nil {
 			p.awaitHolder(ctx, leaveRetryInterval)
 			continue
@@ -109,9 +113,11 @@
 	return struct{}{}, takeNotice(l, notice)
 }
 
-// takeNotice passes a notice to the cell, unless the term of l is over.
+// takeNotice passes a notice to the cell, unless the term of l is over. An age out of range is
+// limited to it.
 func takeNotice(l *eventloop.Loop, notice leaveNotice) error {
-	if !l.Leave(notice.Name, notice.Caller) {
+	ago := time.Duration(min(max(notice.AgeMS, 0), maxAge.Milliseconds())) * time.Millisecond
+	if !l.Leave(notice.Name, notice.Caller, ago) {
 		return &peer.Fault{Ran: api.RanNot, Text: notHolderText}
 	}
 	return nil
--- a/core/proxy/leave_test.go
+++ b/core/proxy/leave_test.go
@@ -63,6 +63,28 @@
 	require.Equal(t, 1, former.leaveCount())
 }
 
+// TestLeaveNoticeStatesAge guards against a holder that counts the time since a caller has left from
+// the arrival of a notice that could not be delivered at first.
+func TestLeaveNoticeStatesAge(t *testing.T) {
+	t.Parallel()
+	c := newCaller(t)
+	h := startHolder(t, holds)
+	began := time.Now()
+	h.leave = func(int) error {
+		if time.Since(began) < 500*time.Millisecond {
+			return &peer.Fault{Ran: api.RanNot, Text: "not the holder"}
+		}
+		return nil
+	}
+	c.follow(h.addr)
+	_ = submitAndLeave(t, c) // after 100 ms
+	time.Sleep(700 * time.Millisecond)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	require.Less(t, h.ages[0], int64(300))
+	require.GreaterOrEqual(t, h.ages[len(h.ages)-1], int64(350))
+}
+
 // TestLeaveNoticeGivenUp checks that a notice that nobody takes is given up and counted, and that the
 // outcome of the submission doesn't wait for it.
 func TestLeaveNoticeGivenUp(t *testing.T) {
--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -51,7 +51,8 @@
 
 	mu   sync.Mutex
 	seen []cell.Submission
-	left int // notices that a caller no longer waits
+	left int     // notices that a caller no longer waits
+	ages []int64 // of these notices, in milliseconds
 }
 
 func (h *holder) leaveCount() int {
@@ -79,10 +80,14 @@
 	})
 	peer.Handle(s, "cell.hello/c0", answerHello)
 	peer.Handle(s, "cell.cancel/c0", func(context.Context, struct{}) (eventloop.Cancelled, error) { return h.cancelled(), nil })
-	peer.Handle(s, "cell.leave/c0", func(context.Context, struct{}) (struct{}, error) {
+	peer.Handle(s, "cell.leave/c0", func(_ context.Context, notice struct {
+		AgeMS int64 `json:"age"`
+	},
+	) (struct{}, error) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.left++
+		h.ages = append(h.ages, notice.AgeMS)
 		if h.leave != nil {
 			return struct{}{}, h.leave(h.left)
 		}
