resubmit: an instance that is stopped and killed starts again once

Symptom: a play did not end.

Cause: a kill could hit an instance that was shutting down. Both disturbances then started its next incarnation, of which the second took the place of the first. The first one was never ended, so that the play waited for it.

Fix: the next incarnation of an instance is started once.

--- a/core/resubmit/faults_test.go
+++ b/core/resubmit/faults_test.go
@@ -34,8 +34,11 @@
 	return fmt.Sprintf("r%d-%d", w.random(int64(len(w.cells))), w.random(runnersPerCell))
 }
 
-// restart starts the next incarnation of an instance that has been killed.
+// restart starts the next incarnation of an instance that has been killed, once.
 func (w *world) restart(i *instance) {
+	if i.restarted.Swap(true) {
+		return
+	}
 	time.Sleep(w.length())
 	w.mu.Lock()
 	w.incarnations++
--- a/core/resubmit/instance_test.go
+++ b/core/resubmit/instance_test.go
@@ -47,17 +47,18 @@
 
 // instance is one incarnation of an entry instance.
 type instance struct {
-	world    *world
-	number   int
-	name     string // its host in the network
-	zone     string
-	life     string // identifies the incarnation
-	dead     atomic.Bool
-	draining atomic.Bool
-	stop     context.CancelFunc
-	client   *peer.Client
-	server   *peer.Server
-	cells    []*participant
+	world     *world
+	number    int
+	name      string // its host in the network
+	zone      string
+	life      string // identifies the incarnation
+	dead      atomic.Bool
+	restarted atomic.Bool // its next incarnation has been started, or will be
+	draining  atomic.Bool
+	stop      context.CancelFunc
+	client    *peer.Client
+	server    *peer.Server
+	cells     []*participant
 
 	mu     sync.Mutex
 	paused time.Time // when the last pause began
