resubmit: pauses, cuts with resets, and a submission that comes after the notice

The world could not show two faults that have happened: an instance that reads the submissions of clients long after they were sent, and a submission that a holder handles after the notice that its caller has left.

Pauses of what clients send are new: unlike an instance of which all messages are held back, one whose process was suspended does not know afterwards that others cannot be reached. Pauses last up to 4.5 s.

No instance starts once a play has ended. The flags resubmit.seed, resubmit.plays and resubmit.traces select the plays and keep the traces of violations.

--- a/core/resubmit/client_test.go
+++ b/core/resubmit/client_test.go
@@ -18,6 +18,9 @@
 	maxAttempts     = 3
 )
 
+// clientHost is the host of the clients in the network.
+const clientHost = "clients"
+
 // call is one submission of a job by a client over a connection of its own.
 type call struct {
 	to      *instance
@@ -74,8 +77,7 @@
 
 // serve is what the instance does with a call.
 func (w *world) serve(c *call, j work.Job, deadline time.Duration) {
-	const clients = "clients"
-	w.net.travel(clients, c.to.name, nil)
+	w.net.travel(clientHost, c.to.name, nil)
 	if c.to.dead.Load() {
 		c.breakOff()
 		return
@@ -83,13 +85,13 @@
 	delay := c.to.delay()
 	ctx, cancel := context.WithTimeout(context.Background(), deadline-answerMargin-delay)
 	defer cancel()
-	if isClosed(c.broken) && w.faults.edgeChecks {
+	if isClosed(c.broken) && !w.currentFaults().uncheckedEdge {
 		return
 	}
 	w.running.Go(func() {
 		select {
 		case <-c.broken:
-			w.net.travel(clients, c.to.name, ctx.Done())
+			w.net.travel(clientHost, c.to.name, ctx.Done())
 			w.log(c.to.life, "event", "clientgone", "job", j.ID)
 			cancel()
 		case <-ctx.Done():
@@ -101,7 +103,7 @@
 		w.late(j.ID, took)
 	}
 	cancel()
-	w.net.travel(c.to.name, clients, nil)
+	w.net.travel(c.to.name, clientHost, nil)
 	if !c.to.dead.Load() && !isClosed(c.broken) {
 		c.answers <- o
 	}
--- a/core/resubmit/doc.go
+++ b/core/resubmit/doc.go
@@ -6,4 +6,8 @@
 // are simulated, and faults are injected into them at random. A client submits a job again, to any
 // instance, some time after it has lost its connection; the tests check that no task ever has two
 // runs at the same time, that a refused job never runs, and that every submission is answered.
+//
+// More plays than in the suite, with the traces of what they find:
+//
+//	go test ./resubmit -resubmit.seed 1 -resubmit.plays 100 -resubmit.traces DIRECTORY
 package resubmit
--- a/core/resubmit/faults_test.go
+++ b/core/resubmit/faults_test.go
@@ -13,8 +13,9 @@
 
 // Lengths of disturbances.
 const (
-	shortest = 100 * time.Millisecond
-	longest  = 2500 * time.Millisecond
+	shortest     = 100 * time.Millisecond
+	longest      = 2500 * time.Millisecond
+	longestPause = 4500 * time.Millisecond
 )
 
 // length returns a random length of a disturbance.
@@ -34,16 +35,17 @@
 	return fmt.Sprintf("r%d-%d", w.random(int64(len(w.cells))), w.random(runnersPerCell))
 }
 
-// restart starts the next incarnation of an instance that has been killed, once.
+// restart starts the next incarnation of an instance that has been killed, unless the play has
+// ended.
 func (w *world) restart(i *instance) {
-	if i.restarted.Swap(true) {
-		return
-	}
 	time.Sleep(w.length())
 	w.mu.Lock()
 	w.incarnations++
-	n := w.incarnations
+	n, ended := w.incarnations, w.ended
 	w.mu.Unlock()
+	if ended {
+		return
+	}
 	next := w.startInstance(i.number, n)
 	w.mu.Lock()
 	w.instances[i.number] = next
@@ -53,19 +55,22 @@
 // The kinds of disturbances.
 var (
 	kills = disturbance{"kills", func(w *world) {
-		if i := w.victim(); i != nil {
-			i.kill()
+		if i := w.victim(); i != nil && i.kill() {
 			w.restart(i)
 		}
 	}}
 	pauses = disturbance{"pauses", func(w *world) {
 		if i := w.victim(); i != nil {
-			i.pause(w.length())
+			i.pause(w.between(shortest, longestPause))
+		}
+	}}
+	clientPauses = disturbance{"clientpauses", func(w *world) {
+		if i := w.victim(); i != nil {
+			i.pauseClients(w.between(shortest, longestPause))
 		}
 	}}
 	leaves = disturbance{"leaves", func(w *world) {
-		if i := w.victim(); i != nil && !i.draining.Load() {
-			i.leave()
+		if i := w.victim(); i != nil && !i.draining.Swap(true) && i.leave() {
 			w.restart(i)
 		}
 	}}
--- a/core/resubmit/instance_test.go
+++ b/core/resubmit/instance_test.go
@@ -47,18 +47,17 @@
 
 // instance is one incarnation of an entry instance.
 type instance struct {
-	world     *world
-	number    int
-	name      string // its host in the network
-	zone      string
-	life      string // identifies the incarnation
-	dead      atomic.Bool
-	restarted atomic.Bool // its next incarnation has been started, or will be
-	draining  atomic.Bool
-	stop      context.CancelFunc
-	client    *peer.Client
-	server    *peer.Server
-	cells     []*participant
+	world    *world
+	number   int
+	name     string // its host in the network
+	zone     string
+	life     string // identifies the incarnation
+	dead     atomic.Bool
+	draining atomic.Bool
+	stop     context.CancelFunc
+	client   *peer.Client
+	server   *peer.Server
+	cells    []*participant
 
 	mu     sync.Mutex
 	paused time.Time // when the last pause began
@@ -165,10 +164,10 @@
 	}
 }
 
-// kill ends the process of the instance.
-func (i *instance) kill() {
+// kill ends the process of the instance. It returns false if that has ended before.
+func (i *instance) kill() bool {
 	if i.dead.Swap(true) {
-		return
+		return false
 	}
 	w := i.world
 	w.log(i.life, "event", "killed")
@@ -179,16 +178,30 @@
 	w.breakCalls(i)
 	i.stop()
 	w.running.Go(i.client.Close)
+	return true
 }
 
-// pause makes the instance receive and send nothing for d, like a process that is suspended.
+// pause makes the instance receive and send nothing for d, like a process that is suspended. Its
+// goroutines go on, so they find out that nothing answers.
 func (i *instance) pause(d time.Duration) {
+	i.notePause(d)
+	i.world.net.block(i.name, anyHost, d)
+	i.world.net.block(anyHost, i.name, d)
+}
+
+// pauseClients makes the instance read nothing from clients for d. Like a process that was
+// suspended it does not know afterwards that others cannot be reached.
+func (i *instance) pauseClients(d time.Duration) {
+	i.notePause(d)
+	i.world.net.block(clientHost, i.name, d)
+}
+
+// notePause records a pause, of which delay tells from then on.
+func (i *instance) notePause(d time.Duration) {
 	i.world.log(i.life, "event", "pause", "for", d)
 	i.mu.Lock()
+	defer i.mu.Unlock()
 	i.paused, i.thawed = time.Now(), time.Now().Add(d)
-	i.mu.Unlock()
-	i.world.net.block(i.name, anyHost, d)
-	i.world.net.block(anyHost, i.name, d)
 }
 
 // delay returns what stall.Detector.Delay returns in a process that was suspended.
@@ -202,10 +215,9 @@
 }
 
 // leave hands the cells of the instance over and ends it, like a process that has received a
-// signal to end.
-func (i *instance) leave() {
+// signal to end. It returns false if the instance was killed meanwhile.
+func (i *instance) leave() bool {
 	i.world.log(i.life, "event", "leave")
-	i.draining.Store(true)
 	var handovers sync.WaitGroup
 	for _, p := range i.cells {
 		p.elector.StopClaiming()
@@ -213,7 +225,7 @@
 	}
 	time.Sleep(drainTime)
 	handovers.Wait()
-	i.kill()
+	return i.kill()
 }
 
 func (p *participant) leave() {
@@ -293,7 +305,7 @@
 // preferred returns the parts in the cells in the order in which jobs are submitted to them.
 func (i *instance) preferred() []*participant {
 	cells := slices.Clone(i.cells)
-	if i.world.faults.sameOrder {
+	if i.world.currentFaults().sameOrder {
 		return cells
 	}
 	slices.SortStableFunc(cells, func(a, b *participant) int {
--- a/core/resubmit/resubmit_test.go
+++ b/core/resubmit/resubmit_test.go
@@ -4,7 +4,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -14,9 +13,9 @@
 )
 
 var (
-	firstSeed = flag.Uint64("resubmit.seed", 1, "first seed of the simulated plays")
-	plays     = flag.Uint64("resubmit.plays", 4, "number of plays of each kind")
-	traces    = flag.String("resubmit.traces", "", "directory to which the traces of violations are written")
+	firstSeed = flag.Uint64("resubmit.seed", 1, "first seed of the plays")
+	plays     = flag.Uint64("resubmit.plays", 4, "number of plays of each scenario")
+	traces    = flag.String("resubmit.traces", "", "directory for the traces of violations")
 )
 
 const (
@@ -25,60 +24,58 @@
 	tailTime   = 12 * time.Second // for which clients wait for their last responses
 )
 
-// scenario is a deployment with faults.
+// scenario is a set of faults.
 type scenario struct {
-	name      string
-	instances int
-	zones     []string
-	faults    faults
-	number    int // of disturbances
-	kinds     []disturbance
+	name   string
+	faults faults
+	number int // of disturbances in playTime
+	kinds  []disturbance
 }
 
-// play plays a scenario with a seed and returns what happened.
+// play plays a scenario with a seed and returns what happened. Goroutines run in any order, so two
+// plays with one seed may differ.
 func (s scenario) play(t *testing.T, seed uint64) *world {
 	t.Helper()
 	var w *world
 	synctest.Test(t, func(*testing.T) {
-		w = newWorld(seed, s.instances, s.zones...)
+		w = newWorld(seed, 4, "a", "b")
 		time.Sleep(settleTime)
-		w.mu.Lock()
-		w.faults = s.faults
-		w.mu.Unlock()
+		w.setFaults(s.faults)
 		w.disturb(s.number, playTime, s.kinds...)
 		for n, end := 0, time.Now().Add(playTime); time.Now().Before(end); n++ {
 			w.submitJob(n)
 			time.Sleep(w.between(20*time.Millisecond, 120*time.Millisecond))
 		}
-		w.mu.Lock()
-		w.faults = faults{edgeChecks: s.faults.edgeChecks}
-		w.mu.Unlock()
+		w.setFaults(faults{sameOrder: s.faults.sameOrder})
 		time.Sleep(tailTime)
 		w.end()
 	})
 	return w
 }
 
-var zones = []string{"a", "b"}
-
 var scenarios = []scenario{
-	{"quiet", 3, zones, faults{edgeChecks: true}, 0, nil},
-	{"kills", 4, zones, faults{edgeChecks: true}, 4, []disturbance{kills}},
-	{"pauses", 4, zones, faults{edgeChecks: true}, 4, []disturbance{pauses}},
-	{"leaves", 4, zones, faults{edgeChecks: true}, 3, []disturbance{leaves}},
-	{"resets", 4, zones, faults{edgeChecks: true}, 8, []disturbance{resets}},
-	{"clientresets", 4, zones, faults{edgeChecks: true}, 8, []disturbance{clientResets}},
-	{"peercuts", 4, zones, faults{edgeChecks: true}, 6, []disturbance{peerCuts}},
-	{"runnercuts", 4, zones, faults{edgeChecks: true}, 6, []disturbance{runnerCuts}},
-	{"storecuts", 4, zones, faults{edgeChecks: true}, 6, []disturbance{storeCuts}},
-	{"runnerrestarts", 4, zones, faults{edgeChecks: true}, 6, []disturbance{runnerRestarts}},
-	{"messages", 4, zones, faults{edgeChecks: true, lostReply: 0.02, lostOrder: 0.01, lateOrder: 0.01}, 0, nil},
-	{"stops", 4, zones, faults{edgeChecks: true, lostStop: 0.2}, 8, []disturbance{clientResets}},
-	{"all", 4, zones, faults{edgeChecks: true, lostReply: 0.01, lostOrder: 0.005, lateOrder: 0.005}, 8, []disturbance{kills, pauses, leaves, resets, clientResets, peerCuts, runnerCuts, storeCuts, runnerRestarts}},
+	{"kills", faults{}, 4, []disturbance{kills}},
+	{"pauses", faults{}, 4, []disturbance{pauses}},
+	{"client pauses", faults{}, 6, []disturbance{clientPauses}},
+	{"leaves", faults{}, 3, []disturbance{leaves}},
+	{"resets", faults{}, 8, []disturbance{resets}},
+	{"quiet", faults{}, 0, nil},
+	{"client resets", faults{}, 8, []disturbance{clientResets}},
+	{"peer cuts", faults{}, 6, []disturbance{peerCuts}},
+	{"runner cuts", faults{}, 6, []disturbance{runnerCuts}},
+	{"store cuts", faults{}, 6, []disturbance{storeCuts}},
+	{"cuts and resets", faults{}, 14, []disturbance{peerCuts, clientResets}},
+	{"cuts and kills", faults{}, 8, []disturbance{peerCuts, runnerCuts, kills}},
+	{"runner restarts", faults{}, 6, []disturbance{runnerRestarts}},
+	{"lost and late orders", faults{lostReply: 0.02, lostOrder: 0.01, lateOrder: 0.01}, 0, nil},
+	{"lost stops", faults{lostStop: 0.2}, 8, []disturbance{clientResets}},
+	{"lost stops, same cell", faults{sameOrder: true, lostStop: 0.5}, 6, []disturbance{kills}},
+	{"all", faults{lostReply: 0.01, lostOrder: 0.005, lateOrder: 0.005}, 8, []disturbance{kills, pauses, clientPauses, leaves, resets, clientResets, peerCuts, runnerCuts, storeCuts, runnerRestarts}},
 }
 
 // TestNoTaskRunsTwice guards against a task with two runs at the same time, in two cells: one of
-// them has the job of a caller that is no longer there, and has submitted it again.
+// them has the job of a caller that is no longer there, and has submitted it again. It also guards
+// against answers that are held back until after the deadline.
 func TestNoTaskRunsTwice(t *testing.T) {
 	t.Parallel()
 	for _, s := range scenarios {
@@ -90,25 +87,21 @@
 				for what, n := range w.counts {
 					counts[what] += n
 				}
-				if len(w.violations) == 0 {
-					continue
-				}
-				slices.SortFunc(w.violations, func(a, b string) int { return kindOf(a) - kindOf(b) })
-				job := w.violations[0][strings.LastIndex(w.violations[0], " ")+1:]
-				t.Errorf("seed %d: %s", seed, strings.Join(w.violations[:min(len(w.violations), 5)], "\n"))
-				if *traces != "" {
-					require.NoError(t, os.WriteFile(fmt.Sprintf("%s/%s-%d.log", *traces, s.name, seed), []byte(w.lines(job)), 0o600))
-				}
+				w.report(t, s.name, seed)
 			}
 			t.Log(counts)
 		})
 	}
 }
 
-// kindOf orders violations.
-func kindOf(violation string) int {
-	if strings.Contains(violation, " LATE ") {
-		return 1
+// report fails the test if there are violations, and writes the trace of the job of the first one.
+func (w *world) report(t *testing.T, name string, seed uint64) {
+	t.Helper()
+	for _, v := range w.violations[:min(len(w.violations), 4)] {
+		t.Errorf("seed %d: %s", seed, v)
+	}
+	if len(w.violations) > 0 && *traces != "" {
+		file := fmt.Sprintf("%s/%s-%d.log", *traces, strings.ReplaceAll(name, " ", "-"), seed)
+		require.NoError(t, os.WriteFile(file, []byte(w.lines(w.violations[0].job)), 0o600))
 	}
-	return 0
 }
--- a/core/resubmit/world_test.go
+++ b/core/resubmit/world_test.go
@@ -27,6 +27,7 @@
 
 	mu           sync.Mutex
 	rng          *rand.Rand
+	ended        bool        // no instance starts any more
 	instances    []*instance // current incarnations
 	incarnations int         // number of restarted instances
 	runners      map[string]*runner
@@ -36,7 +37,7 @@
 	calls        map[*call]bool
 	rows         chan struct{} // closed at the next write to the store
 	trace        []line
-	violations   []string
+	violations   []violation
 	counts       map[string]int
 }
 
@@ -56,7 +57,7 @@
 
 	acrossRestart bool // late orders are carried out by a later incarnation of the runner too
 	sameOrder     bool // all instances submit jobs to the cells in the same order
-	edgeChecks    bool // instances ignore submissions over connections that are closed
+	uncheckedEdge bool // instances read submissions over connections that are closed
 }
 
 // newWorld returns a world with a cell in each of the data centres and three runners in each.
@@ -67,7 +68,6 @@
 		calls: map[*call]bool{}, rows: make(chan struct{}), counts: map[string]int{},
 	}
 	w.net = newNetwork(w.random)
-	w.faults.edgeChecks = true
 	for n, zone := range zones {
 		w.cells = append(w.cells, simCell{fmt.Sprintf("c%d", n), zone})
 		for r := range runnersPerCell {
@@ -229,11 +229,35 @@
 	}
 }
 
-// violate records a violation concerning a job. The caller holds the lock.
+// violation is a guarantee that was violated for a job.
+type violation struct {
+	at   time.Duration
+	job  string
+	text string
+}
+
+func (v violation) String() string {
+	return fmt.Sprintf("%.3f job %s: %s", v.at.Seconds(), v.job, v.text)
+}
+
+// violate records a violation. The caller holds the lock.
 func (w *world) violate(job, format string, args ...any) {
-	text := fmt.Sprintf("%.3f ", time.Since(w.began).Seconds()) + fmt.Sprintf(format, args...)
-	w.violations = append(w.violations, text+" job "+job)
-	w.trace = append(w.trace, line{time.Now(), "VIOLATION", []any{text, "job", job}})
+	v := violation{time.Since(w.began), job, fmt.Sprintf(format, args...)}
+	w.trace = append(w.trace, line{time.Now(), "VIOLATED", []any{v}})
+	w.violations = append(w.violations, v)
+}
+
+// setFaults sets the faults from now on.
+func (w *world) setFaults(f faults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = f
+}
+
+func (w *world) currentFaults() faults {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.faults
 }
 
 // checkStart records a start and the guarantees that it violates. The caller holds the lock.
@@ -304,6 +328,9 @@
 
 // end ends all instances and waits until nothing runs any more.
 func (w *world) end() {
+	w.mu.Lock()
+	w.ended = true
+	w.mu.Unlock()
 	for _, i := range w.live() {
 		i.kill()
 	}
