cell, hosted: one name for the time between the loss of an instance and a resubmission

175 ms stood twice, as the time for stopping runs in hosted and as the margin of the bound in cell, and the two must agree. No change of behaviour.

--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -167,15 +167,16 @@
 	c.removeWaiters(now, left, id, caller, func(w waiter) bool { return attemptless(w.caller) == name })
 }
 
-// lossNoticeMargin is the least time from when an instance is found to be lost until its callers may
-// submit their jobs again: it may have been silent for the rest of Settings.ResubmitAfter.
-const lossNoticeMargin = 175 * time.Millisecond
+// LossNoticeMargin is the least time from when an instance is found to be lost until its callers may
+// submit their jobs again: it may have been silent for the rest of Settings.ResubmitAfter. Within it
+// the runs of the jobs are stopped.
+const LossNoticeMargin = 175 * time.Millisecond
 
 // AttemptLost records that no caller waits for one attempt of a submission any more, since the
 // instance that has made it is lost or has given up. A transient job without waiting callers is
 // cancelled.
 func (c *Cell) AttemptLost(now time.Time, id, caller string) {
-	c.removeWaiters(now, now.Add(lossNoticeMargin-c.Settings.ResubmitAfter), id, caller, func(w waiter) bool { return w.caller == caller })
+	c.removeWaiters(now, now.Add(LossNoticeMargin-c.Settings.ResubmitAfter), id, caller, func(w waiter) bool { return w.caller == caller })
 }
 
 // attemptless returns the name of a caller without the attempt.
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -54,7 +54,6 @@
 	storeConns    = 8
 	maxPeerCalls  = 1024 // in flight to one peer
 	peerHeartbeat = 300 * time.Millisecond
-	stopTime      = 175 * time.Millisecond // within which the runs of a job are stopped
 	// minCallerTimeout is more than twice peerHeartbeat, so that one lost message is no loss of
 	// the caller.
 	minCallerTimeout = 700 * time.Millisecond
@@ -278,7 +277,7 @@
 // callers are cancelled. It leaves time to stop them before the platform submits them again,
 // possibly to another cell.
 func (h *Host) callerTimeout() time.Duration {
-	return max(peer.CallerTimeoutWithin(h.settings.Current().Retransmit-stopTime), minCallerTimeout)
+	return max(peer.CallerTimeoutWithin(h.settings.Current().Retransmit-cell.LossNoticeMargin), minCallerTimeout)
 }
 
 // countPeerCall counts a call of another instance, whose method ends with the name of a cell.
