proxy: a test waits for the loop that it has deposed

With 50 ms of sleep between the two lines it failed each time; with the loop kept in a variable, and the same sleep, it passes. The checks are the same. No product code is concerned.

--- a/core/proxy/alive_test.go
+++ b/core/proxy/alive_test.go
@@ -41,8 +41,9 @@
 	time.Sleep(300 * time.Millisecond)
 	cancel()
 	c.BeginTerm(election.Term{Epoch: 2, Number: 2})
-	c.CurrentLoop().Depose("end of the test")
-	<-c.CurrentLoop().Done()
+	l := c.CurrentLoop()
+	l.Depose("end of the test")
+	<-l.Done()
 	require.True(t, term.PreviousAlive.After(began))
 	require.True(t, term.PreviousAlive.Before(stopped))
 }
