cell: one iterator over the runs of a job

hasRuns, runCount and longestLease each walked the steps and tasks of a job for the runs that may be alive. They share job.runs now. No change of behaviour, no test changed.

--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -255,16 +256,25 @@
 	return j.waiting[0].caller
 }
 
-// runCount returns the number of tasks with a run that may be alive.
-func (j *job) runCount() int {
-	n := 0
-	for _, step := range j.tasks {
-		for _, t := range step {
-			if t.run != nil {
-				n++
+// runs returns the runs of the tasks of j that may be alive.
+func (j *job) runs() iter.Seq[*run] {
+	return func(yield func(*run) bool) {
+		for _, step := range j.tasks {
+			for _, t := range step {
+				if t.run != nil && !yield(t.run) {
+					return
+				}
 			}
 		}
 	}
+}
+
+// runCount returns the number of runs of j that may be alive.
+func (j *job) runCount() int {
+	n := 0
+	for range j.runs() {
+		n++
+	}
 	return n
 }
 
@@ -272,12 +282,8 @@
 // receives no further order.
 func (j *job) longestLease(now time.Time) time.Duration {
 	longest := time.Duration(0)
-	for _, step := range j.tasks {
-		for _, t := range step {
-			if t.run != nil {
-				longest = max(longest, t.run.runner.leaseLeft(now, t.run.runner.maxDeadline))
-			}
-		}
+	for x := range j.runs() {
+		longest = max(longest, x.runner.leaseLeft(now, x.runner.maxDeadline))
 	}
 	return longest
 }
--- a/core/cell/writer.go
+++ b/core/cell/writer.go
@@ -201,12 +201,8 @@
 
 // hasRuns reports whether any run of j may be alive.
 func (c *Cell) hasRuns(j *job) bool {
-	for _, step := range j.tasks {
-		for _, t := range step {
-			if t.run != nil {
-				return true
-			}
-		}
+	for range j.runs() {
+		return true
 	}
 	return false
 }
