--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -11,4 +11,4 @@
   name=$(basename "$f" .txt)
   cp "$f" "target/review-2-source/$name"
 done
-(cd target/review-2-source && GOWORK=off GOFLAGS=-mod=mod CGO_ENABLED=0 go build -o ../review-2 .)
+(cd target/review-2-source && GOWORK=off GOFLAGS="-mod=mod -buildvcs=false" GOTOOLCHAIN=local CGO_ENABLED=0 go build -o ../review-2 .)
