work: bound the products of a submission before they are computed

Cause: Job.Validate compared total * Occurrences() with MaxTasks. The product exceeds the range of int: 2 x (2^63-1) is -2, 4 x 2^62 is 0. The log of each process that ended has "makeslice: len out of range" in cell.newJob, called by Cell.Submit on one holder after the other, and nothing else before it.

Ruled out: memory (the panic comes with the first job, at a few MB), a fault of decoding (2^63-1 is a valid int64; 2^63 is refused by the decoder).

Change: the product is not computed, and the last due time is in range. A row of an earlier build that holds no job that can run is set aside, counted and logged, and its job can be cancelled; the cell goes on with the others.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -80,7 +80,8 @@
 	adviceInFlight bool      // a request to the adviser is in flight
 	nextAdvice     time.Time // earliest time of the next request
 
-	loaded           bool // the rows have been read
+	loaded           bool             // the rows have been read
+	setAside         map[string]int64 // versions of the rows that hold no job that can run, by name
 	pendingCancels   []pendingCancel
 	takenOver        bool      // no unaccounted run of a previous holder can be left
 	previousKnown    bool      // the previous holder has said on which runners it may have runs
@@ -107,6 +108,7 @@
 		Metrics:          noopMetrics{},
 		WallClock:        func() int64 { return time.Now().UnixMilli() },
 		jobs:             map[string]*job{},
+		setAside:         map[string]int64{},
 		runners:          map[string]*runner{},
 		writer:           rowWriter{transactions: map[int64]*transaction{}},
 		estimates:        estimates{queues: map[string]*queueRunTime{}, kinds: map[string]*kindSpeed{}},
@@ -342,10 +344,10 @@
 }
 
 // fromMilliseconds returns ms milliseconds as a duration, limited to math.MaxInt32
-// milliseconds.
+// milliseconds either way. That is also the result for a value that is no number.
 func fromMilliseconds(ms float64) time.Duration {
-	if ms > math.MaxInt32 {
+	if !(ms <= math.MaxInt32) {
 		ms = math.MaxInt32
 	}
-	return time.Duration(ms * float64(time.Millisecond))
+	return time.Duration(max(ms, -math.MaxInt32) * float64(time.Millisecond))
 }
--- a/core/cell/malformed_test.go
+++ b/core/cell/malformed_test.go
@@ -67,6 +67,8 @@
 	f.Add("c0/ends/a", []byte(`{"state":"succeeded"}`))
 	f.Add("", []byte(`null`))
 	f.Add("c0/jobs/a", []byte(`{"id":"a","steps":[{"count":-5}]}`))
+	f.Add("c0/jobs/b", []byte(`{"id":"b","steps":[{"count":2}],"repeat":9223372036854775807}`))
+	f.Add("c0/jobs/b", []byte(`{"id":"b","steps":[{"count":2,"memory":9223372036854775807,"estimate":9223372036854775807}],"repeat":4611686018427387904}`))
 	f.Fuzz(func(t *testing.T, key string, value []byte) {
 		row := table.Row{Key: key, Version: 2, Value: json.RawMessage(value)}
 		job := table.Row{Key: "c0/jobs/a", Version: 1, Value: json.RawMessage(`{"id":"a","steps":[{"count":2,"cpu":1}],"queue":{"name":"q","service":"s"}}`)}
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
+
 	"gypsumward/core/order"
 	"gypsumward/core/table"
 	"gypsumward/core/work"
@@ -16,7 +18,7 @@
 const runsPerTerm = 1000
 
 // LoadJobs loads the rows of jobs and of their progress, which must have been read after the
-// holder's row was written. Rows that can't be decoded are logged and left unchanged. It
+// holder's row was written. Rows that can't be used are logged and left unchanged. It
 // panics if called twice.
 func (c *Cell) LoadJobs(now time.Time, jobs, progress []table.Row) {
 	if c.loaded {
@@ -63,10 +65,24 @@
 	return key
 }
 
-// restoreJob restores a job from its row. A row that can't be decoded is left unchanged.
+// decodeJob decodes the row of a job. It returns an error if the row holds no job that can run.
+func decodeJob(row table.Row) (w work.Job, err error) {
+	if err := json.Unmarshal(row.Value, &w); err != nil {
+		return w, err
+	}
+	if w.ID != nameFromKey(row.Key) {
+		return w, errors.Errorf("the row holds job %q", w.ID)
+	}
+	return w, w.Validate()
+}
+
+// restoreJob restores a job from its row. A row that holds no job that can run is set aside: it is
+// left unchanged until the job is cancelled, since another build may be able to run it.
 func (c *Cell) restoreJob(now time.Time, row table.Row) {
-	var w work.Job
-	if err := json.Unmarshal(row.Value, &w); err != nil || w.Validate() != nil || w.ID != nameFromKey(row.Key) {
+	w, err := decodeJob(row)
+	if err != nil {
+		c.setAside[nameFromKey(row.Key)] = row.Version
+		c.Metrics.Count("badrow", 1)
 		c.log("event", "badrow", "key", row.Key, "err", err)
 		return
 	}
@@ -82,6 +98,21 @@
 	c.jobs[j.ID] = j
 }
 
+// cancelSetAside ends a job whose row was set aside. It reports whether there is such a row.
+func (c *Cell) cancelSetAside(now time.Time, id string, reply func(state work.State, stored bool)) bool {
+	version, found := c.setAside[id]
+	if !found {
+		return false
+	}
+	delete(c.setAside, id)
+	j := newJob(work.Job{ID: id, Steps: []work.Step{{Count: 1}}}, now)
+	j.row.stored, j.row.jobVersion = true, version
+	j.cancels = append(j.cancels, reply)
+	c.jobs[id] = j
+	c.finish(now, j, work.Cancelled)
+	return true
+}
+
 // restoreResubmitted marks a job as stored in a row of the given version. The job was
 // resubmitted before the rows were loaded.
 func (c *Cell) restoreResubmitted(j *job, version int64) {
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -307,6 +307,9 @@
 	case c.deposed:
 		reply(work.Unknown, false)
 		return
+	case j == nil && c.cancelSetAside(now, id, reply):
+		c.schedulePass()
+		return
 	case j == nil && c.loaded:
 		reply(work.Unknown, true)
 		return
--- a/core/proxy/submit.go
+++ b/core/proxy/submit.go
@@ -23,8 +23,8 @@
 // searchTime returns how long after its arrival a job that no holder can have is refused.
 func searchTime(j *work.Job) time.Duration {
 	chain := j.CriticalPath(func(step int) float64 { return float64(j.Steps[step].Estimate) })
-	objective := time.Duration((j.Queue.Stretch*chain + float64(j.Queue.TargetLatency)) * float64(time.Millisecond))
-	return min(max(objective/searchDivisor, minSearchTime), maxSearchTime)
+	objective := (j.Queue.Stretch*chain + float64(j.Queue.TargetLatency)) * float64(time.Millisecond)
+	return time.Duration(min(max(objective/searchDivisor, float64(minSearchTime)), float64(maxSearchTime)))
 }
 
 // Submit submits a job that arrived at the given time and returns the outcome, a refusal if
--- a/core/work/job.go
+++ b/core/work/job.go
@@ -1,6 +1,10 @@
 package work
 
-import "github.com/juju/errors"
+import (
+	"math"
+
+	"github.com/juju/errors"
+)
 
 // Limits of a job.
 const (
@@ -8,6 +12,10 @@
 	MaxTasks = 4000    // of all steps and occurrences together
 	MaxSpec  = 4000    // bytes
 	MaxCPU   = 1 << 20 // thousandths of a core, of one task
+
+	MaxMemory   = 1 << 40 // megabytes, of one task; sums over all tasks stay in range
+	MaxGPU      = 1 << 20 // of one task
+	MaxEstimate = 1 << 40 // milliseconds, of one task
 )
 
 // Job is a job as submitted by a caller. The caller chooses the ID; submissions with the
@@ -60,8 +68,11 @@
 	if j.RepeatCount < 0 || j.FirstDue < 0 || j.Interval < 0 {
 		return errors.New("a time of an occurrence is out of range")
 	}
-	if n := total * j.Occurrences(); n > MaxTasks {
-		return errors.Errorf("%d tasks, at most %d", n, MaxTasks)
+	if n := j.Occurrences(); n > MaxTasks/total { // the product may exceed the range of int
+		return errors.Errorf("%d occurrences of %d tasks, at most %d tasks", n, total, MaxTasks)
+	}
+	if later := int64(j.Occurrences() - 1); later > 0 && j.Interval > (math.MaxInt64-j.FirstDue)/later {
+		return errors.New("the time of the last occurrence is out of range")
 	}
 	return nil
 }
--- a/core/work/step.go
+++ b/core/work/step.go
@@ -28,7 +28,8 @@
 	if s.Count < 1 || s.Count > MaxTasks {
 		return errors.Errorf("step %d: %d tasks", index, s.Count)
 	}
-	if s.CPU < 0 || s.CPU > MaxCPU || s.Memory < 0 || s.GPU < 0 || s.Estimate < 0 || s.MaxPerRunner < 0 {
+	if s.CPU < 0 || s.CPU > MaxCPU || s.Memory < 0 || s.Memory > MaxMemory || s.GPU < 0 || s.GPU > MaxGPU ||
+		s.Estimate < 0 || s.Estimate > MaxEstimate || s.MaxPerRunner < 0 || s.TailLatencyTarget < 0 {
 		return errors.Errorf("step %d: a size is out of range", index)
 	}
 	if s.Gang && s.LongRunning {
