eventloop, proxy, election: a panic ends a term, not one process after the other

Cause: nothing bounded how far a panic in the loop of a cell reaches, nor how many holders a submission may be lost with. The logs show the same job id in the last lines of one process after the other.

Change: a panic ends the term. The state of the cell is thrown away before a pass of it, so nothing of the submission has been written or started: it is refused where it can't have run before, and its outcome is open otherwise. The end of the term is announced, a standby takes over at once, and the instance itself after the time for silent holders if there is no other. An entry does not pass a submission on after two holders were lost with it.

Ruled out: to let the process end and bound the attempts only (the other cells and clients of the process suffer, and clients send the job again at other entries); to go on with the term (its state cannot be relied on).

--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -48,6 +48,7 @@
 	ReasonLease        = "lease" // the holder may start nothing, since another may have become it
 	ReasonNoRunnerFits = "tasks" // no runner is large enough
 	ReasonTooLarge     = "size"  // the job does not fit into a row of the store
+	ReasonFault        = "fault" // the job has made the holder end its term
 	ReasonNoRoom       = "room"  // not all tasks can start at once, and the job was submitted for that only
 )
 
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -83,6 +83,24 @@
 	c.schedulePass()
 }
 
+// Knows reports whether the cell knows a job, or its end.
+func (c *Cell) Knows(id string) bool {
+	_, ended := c.endedJobs.jobs[id]
+	return ended || c.jobs[id] != nil
+}
+
+// HasRun reports whether a runner may have a run of a job.
+func (c *Cell) HasRun(id string) bool {
+	for _, r := range c.sorted {
+		for key := range r.runs {
+			if key.task.Job == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // drainingVerdict returns the verdict of a cell that is being handed over on a job that it doesn't
 // know. HandingOver would let the caller start a job elsewhere beside its runs here.
 func drainingVerdict(hasRuns bool) Verdict {
--- a/core/election/elector.go
+++ b/core/election/elector.go
@@ -78,6 +78,7 @@
 	loaded            bool      // all rows have been read once
 	standbys          standbys
 	releasedEpoch     int64 // epoch of a holder that has given the cell up; zero if none has
+	releasedAt        time.Time
 	holderClock       clockReading
 	openClaim         *rowVersions // of a claim whose outcome is not known; nil if there is none
 	previousEnd       time.Time    // end of the lease of the holder that this instance is replacing; zero if not known
--- a/core/election/standbys.go
+++ b/core/election/standbys.go
@@ -159,7 +159,7 @@
 	if epoch <= e.releasedEpoch {
 		return
 	}
-	e.releasedEpoch = epoch
+	e.releasedEpoch, e.releasedAt = epoch, e.Clock.Now()
 	select {
 	case e.ended <- struct{}{}:
 	default:
--- a/core/election/takeover.go
+++ b/core/election/takeover.go
@@ -68,10 +68,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	standby := e.isStandby()
+	// A term of this instance that has failed leaves the cell to others for a while.
+	over := e.leading && e.releasedEpoch == e.holderVersion && now.Sub(e.releasedAt) > e.Settings.SilentTimeout
 	return situation{
 		now: now, self: e.Self, holder: e.holder, seen: e.versions(), standby: standby, released: e.releasedEpoch == e.holderVersion,
 		silent: e.holderSilent(now, standby), lastHeartbeat: e.lastHeartbeat, promisedUntil: promisedUntil,
-	}, e.loaded && !e.leading && !e.retired
+	}, e.loaded && (!e.leading || over) && !e.retired
 }
 
 // reason returns why this instance may take over, or an empty string. Probes of the holder's
--- a/core/eventloop/loop.go
+++ b/core/eventloop/loop.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,6 +80,9 @@
 	answeringRunners atomic.Int64  // runners in the directory that answer
 	listedRunners    atomic.Int64  // runners in the directory
 	idle             atomic.Bool
+	failed           atomic.Bool
+	lastTick         time.Time
+	skipped          bool // the last tick was, since it was late
 	overload         overload.Detector
 	calls            sync.WaitGroup
 	ctx              context.Context
@@ -106,33 +111,56 @@
 	l.calls.Go(func() { l.load(ctx) })
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	lastTick, skipped := l.Clock.Now(), false
+	l.lastTick = l.Clock.Now()
 	for !l.cell.Deposed() {
-		select {
-		case m := <-l.messages:
-			m.Apply(l.cell, l.Clock.Now())
+		l.turn(ctx, ticker)
+	}
+}
+
+// turn waits for the next event and processes it. A panic ends the term, but not the process, which
+// serves other cells and callers.
+func (l *Loop) turn(ctx context.Context, ticker *time.Ticker) {
+	defer func() {
+		if v := recover(); v != nil {
+			l.fail(v)
+		}
+	}()
+	select {
+	case m := <-l.messages:
+		m.Apply(l.cell, l.Clock.Now())
+		l.applyQueued()
+	case <-ticker.C:
+		now := l.Clock.Now()
+		late := now.Sub(l.lastTick) > 2*tickInterval
+		l.overload.RecordTick(now.Sub(l.lastTick) - tickInterval)
+		l.lastTick = now
+		// After a pause of the process replies may be waiting, which a tick would take for
+		// missing.
+		if l.skipped = late && !l.skipped; l.skipped {
 			l.applyQueued()
-		case <-ticker.C:
-			now := l.Clock.Now()
-			late := now.Sub(lastTick) > 2*tickInterval
-			l.overload.RecordTick(now.Sub(lastTick) - tickInterval)
-			lastTick = now
-			// After a pause of the process replies may be waiting, which a tick would take for
-			// missing.
-			if skipped = late && !skipped; skipped {
-				l.applyQueued()
-				break
-			}
-			l.cell.Tick(now)
-			l.publish()
-		case <-ctx.Done():
-			l.cell.Depose(l.Clock.Now(), "the context of the term has ended")
+			break
 		}
-		l.cell.RunPass(l.Clock.Now())
-		l.idle.Store(l.cell.IsIdle())
+		l.cell.Tick(now)
+		l.publish()
+	case <-ctx.Done():
+		l.cell.Depose(l.Clock.Now(), "the context of the term has ended")
 	}
+	l.cell.RunPass(l.Clock.Now())
+	l.idle.Store(l.cell.IsIdle())
 }
 
+// fail ends the term after a panic with the given value: the state of the cell is not to be relied on
+// any more, and the next holder reads it from the rows and the runners.
+func (l *Loop) fail(value any) {
+	l.failed.Store(true)
+	l.cell.Metrics.Count("panic", 1)
+	_ = l.cell.Log.Log("event", "panic", "duty", "cell", "epoch", l.Term.Epoch, "value", fmt.Sprint(value), "stack", string(debug.Stack()))
+	l.cell.Depose(l.Clock.Now(), "a panic")
+}
+
+// Failed reports whether a panic has ended the term.
+func (l *Loop) Failed() bool { return l.failed.Load() }
+
 // applyQueued applies the queued messages, up to maxQueuedBatch.
 func (l *Loop) applyQueued() {
 	for range maxQueuedBatch {
--- a/core/eventloop/submit.go
+++ b/core/eventloop/submit.go
@@ -13,7 +13,7 @@
 // of ctx. A job is not submitted after ctx has ended, or if the connection that ctx carries is
 // closed (see package hangup); the verdict is then cell.OutcomeUnknown.
 func (l *Loop) Submit(ctx context.Context, submission cell.Submission) (cell.Outcome, error) {
-	m := submitMessage{ctx: ctx, submission: submission, reply: make(chan cell.Outcome, 1)}
+	m := submitMessage{ctx: ctx, submission: submission, reply: make(chan cell.Outcome, 2)}
 	return request(ctx, l, m, m.reply)
 }
 
@@ -31,9 +31,25 @@
 		m.reply <- cell.Outcome{Verdict: cell.OutcomeUnknown}
 		return
 	}
+	known := c.Knows(m.submission.Job.ID)
+	defer func() {
+		if v := recover(); v != nil {
+			m.reply <- m.failure(c, known)
+			panic(v)
+		}
+	}()
 	c.Submit(now, m.submission, func(o cell.Outcome) { m.reply <- o })
 }
 
+// failure returns the outcome of a submission that has made the cell panic. The term ends without a
+// pass of the cell, so a job that was not known before has neither been written nor started.
+func (m submitMessage) failure(c *cell.Cell, known bool) cell.Outcome {
+	if known || m.submission.Resubmitted || c.HasRun(m.submission.Job.ID) {
+		return cell.Outcome{Verdict: cell.OutcomeUnknown, Reason: cell.ReasonFault}
+	}
+	return cell.Outcome{Verdict: cell.Refused, Reason: cell.ReasonFault}
+}
+
 // Leave notifies the cell that a caller of Submit no longer waits, since a time ago. It returns false
 // if the term is over.
 func (l *Loop) Leave(id, caller string, ago time.Duration) bool {
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -237,10 +237,23 @@
 		if p.loop == l {
 			p.loop = nil
 		}
-		go p.Elector.Released(t.Epoch) // no heartbeat without a loop; the elector may hold its lock
+		go p.endHeartbeats(t, l.Failed())
 	})
 }
 
+// endHeartbeats makes the elector send no more heartbeats for a term that is over. If the term has
+// failed, the others are notified, so that one takes over at once.
+func (p *Proxy) endHeartbeats(t election.Term, failed bool) {
+	p.Elector.Released(t.Epoch)
+	if !failed {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
+	defer cancel()
+	p.AnnounceRelease(ctx, t.Epoch)
+	p.Elector.Release(ctx, t)
+}
+
 // Renew extends the lease of a term: no other instance can become the holder before
 // until. It has no effect if the term is not the current one.
 func (p *Proxy) Renew(t election.Term, until time.Time) {
--- a/core/proxy/submit.go
+++ b/core/proxy/submit.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"github.com/juju/errors"
+
 	"gypsumward/core/cell"
 	"gypsumward/core/election"
 	"gypsumward/core/eventloop"
@@ -39,6 +41,7 @@
 	deadline := monotonic.DeadlineOf(ctx, p.Clock.Now())
 	var err error
 	opened := "" // why a holder may have the job without having said so
+	var lost lostHolders
 	for attempt := 1; ; attempt++ {
 		now := p.Clock.Now()
 		if ctx.Err() != nil || hangup.Closed(ctx) || deadline.Passed(now) { // also after a pause of the process
@@ -49,6 +52,7 @@
 		submission.AgeMS = now.Sub(arrived).Milliseconds()
 		submission.RoomOnly = roomOnly && !submission.Resubmitted
 		submission.Caller = caller + cell.AttemptSeparator + strconv.Itoa(attempt)
+		_, version, _ := p.Elector.Holder()
 		o, maybeHandled, err = p.submitOnce(ctx, submission)
 		if err == nil && isFinal(o, submission.Resubmitted) {
 			o = p.verifyRefusal(ctx, j, o)
@@ -56,6 +60,10 @@
 				"verdict", o.Verdict, "state", string(o.State), "reason", o.Reason, "took", p.Clock.Now().Sub(arrived), "gone", ctx.Err() != nil)
 			return o
 		}
+		if maybeHandled && !errors.Is(err, context.Canceled) && lost.add(version) >= maxLostHolders {
+			submission.Resubmitted = true
+			break
+		}
 		if !submission.Resubmitted && (maybeHandled || (err == nil && o.Verdict == cell.OutcomeUnknown)) {
 			submission.Resubmitted, opened = true, openedBy(attempt, o, err)
 		}
@@ -101,9 +109,29 @@
 }
 
 // isFinal reports whether o may be returned to the caller. A refusal of a resubmitted job
-// may not, since another holder may have run the job.
+// may not, since another holder may have run the job. A job that has made its holder end the term is
+// not passed on to the next one.
 func isFinal(o cell.Outcome, resubmitted bool) bool {
-	return o.Verdict == cell.Accepted || (o.Verdict == cell.Refused && !resubmitted)
+	return o.Verdict == cell.Accepted || (o.Verdict == cell.Refused && !resubmitted) || o.Reason == cell.ReasonFault
+}
+
+// maxLostHolders is the number of holders lost while they have a submission after which it is not
+// passed on to another one, since it may be what ends them.
+const maxLostHolders = 2
+
+// lostHolders counts the holders that were lost while they had a submission.
+type lostHolders struct {
+	epoch int64 // of the last one
+	count int
+}
+
+// add records the loss of the holder of an epoch, possibly again, and returns the number of them.
+func (l *lostHolders) add(epoch int64) int {
+	if epoch != l.epoch {
+		l.epoch = epoch
+		l.count++
+	}
+	return l.count
 }
 
 // ReasonNoHolder is the reason of an outcome when no holder has replied.
