--- a/core/cell/admit.go
+++ b/core/cell/admit.go
@@ -30,7 +30,7 @@
 	switch {
 	case !j.Transient && (c.storeDown(now) || !now.Before(c.leaseUntil)):
 		return ReasonStore, retryAfter
-	case !c.fitsIdleRunners(j):
+	case !c.fitsIdleRunners(now, j):
 		return ReasonNoRunnerFits, retryAfter
 	}
 	if j.RepeatCount > 0 || j.LongRunning() {
@@ -85,10 +85,10 @@
 			continue
 		}
 		waiting += j.Steps[s].Count
-		places, required := 0, requirements(&j.Steps[s])
+		places := 0
 		for _, r := range usable {
-			if r.Service == j.Queue.Service {
-				places += r.free().capacityFor(required)
+			if r.suits(&j.Steps[s], j.Queue.Service) {
+				places += r.places(&j.Steps[s], r.free())
 			}
 		}
 		if places < waiting {
@@ -112,27 +112,6 @@
 	return tasks
 }
 
-// fitsIdleRunners reports whether each step of j would fit if all runners were idle: one
-// task on a single runner, a gang on all runners together.
-func (c *Cell) fitsIdleRunners(j *job) bool {
-	for s := range j.Steps {
-		wantedTasks, capacity := 1, 0
-		if j.Steps[s].Gang {
-			wantedTasks = j.Steps[s].Count
-		}
-		required := requirements(&j.Steps[s])
-		for _, r := range c.sorted {
-			if r.Service == j.Queue.Service && capacity < wantedTasks {
-				capacity += r.Capacity.capacityFor(required)
-			}
-		}
-		if capacity < wantedTasks {
-			return false
-		}
-	}
-	return true
-}
-
 // backlog returns the estimated time in milliseconds that the runners need for the
 // waiting tasks, without long-running ones.
 func (c *Cell) backlog(now time.Time) float64 {
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -55,14 +55,16 @@
 // Cell decides which task runs on which runner. Its exported fields must be set before
 // the first method call. Use New to create one.
 type Cell struct {
-	Term      Term
-	Settings  Settings
-	Orders    OrderSender
-	Store     Store
-	Adviser   Adviser // may be nil
-	Log       log.Logger
-	Metrics   Metrics
-	WallClock func() int64 // wall-clock time in milliseconds since 1970
+	Term     Term
+	Settings Settings
+	Orders   OrderSender
+	Store    Store
+	Adviser  Adviser // may be nil
+	// Neighbours reaches the other cells. It may be nil if there are none.
+	Neighbours Neighbours
+	Log        log.Logger
+	Metrics    Metrics
+	WallClock  func() int64 // wall-clock time in milliseconds since 1970
 
 	jobs          map[string]*job
 	runners       map[string]*runner
@@ -76,6 +78,10 @@
 	scratch       []*runner
 	preferredRack string // rack for the tasks that are being placed; empty for any
 	lastReport    time.Time
+	searches      searches
+	away          map[string]*job // jobs that other cells have, or are to get, until these have stored them
+	movesAt       time.Time       // earliest time of the next look for jobs to pass on
+	reportAt      time.Time       // earliest time of the next report of ends to other cells
 
 	adviceInFlight bool      // a request to the adviser is in flight
 	nextAdvice     time.Time // earliest time of the next request
@@ -109,6 +115,7 @@
 		WallClock:        func() int64 { return time.Now().UnixMilli() },
 		jobs:             map[string]*job{},
 		setAside:         map[string]int64{},
+		away:             map[string]*job{},
 		runners:          map[string]*runner{},
 		writer:           rowWriter{transactions: map[int64]*transaction{}},
 		estimates:        estimates{queues: map[string]*queueRunTime{}, kinds: map[string]*kindSpeed{}},
@@ -262,6 +269,9 @@
 	}
 	c.stopBrokenGangs(now)
 	c.stopStalledRuns(now)
+	c.moveWaiting(now)
+	c.passMovedOn(now)
+	c.reportEnds(now)
 	c.report(now)
 	c.endedJobs.sweep(now, c.Settings.EndRetention, c.queueRemoval)
 	c.schedulePass()
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -106,7 +106,7 @@
 	capacity := map[string]int{}
 	best := ""
 	for _, r := range usable {
-		if r.Rack == "" || r.Service != j.Queue.Service {
+		if r.Rack == "" || !r.suits(j.spec(step), j.Queue.Service) {
 			continue
 		}
 		capacity[r.Rack] += r.free().capacityFor(required)
@@ -171,7 +171,7 @@
 // canRun reports whether r may run t, which takes the resources required, at now.
 func (c *Cell) canRun(now time.Time, t *task, r *runner, required Resources) bool {
 	s := t.spec()
-	if r.Service != t.job.Queue.Service || !r.free().fits(required) {
+	if !r.suits(s, t.job.Queue.Service) || !r.free().fits(required) {
 		return false
 	}
 	if s.Opportunistic && !r.canRunOpportunistic(s) {
@@ -180,13 +180,10 @@
 	if !t.adviceAllows(now, r) {
 		return false
 	}
-	if s.RequiredLabel != "" && !slices.Contains(r.Labels, s.RequiredLabel) {
-		return false
-	}
 	if r.health.consecutiveFailures > 0 && r.trials(now)+r.plannedMembers > 0 {
 		return false // after a failure, one trial at a time until one succeeds
 	}
-	if t.triedOn(r) && c.spareLastAttempt(now, t, required) {
+	if t.triedOn(r) && c.spareLastAttempt(now, t) {
 		return false
 	}
 	if s.MaxPerRunner > 0 {
@@ -209,12 +206,12 @@
 // runners on which it was not tried, if they have the capacity for it, or for its gang, now or once
 // those of their runs have ended that do not last, but no longer than its job is allowed; otherwise
 // for lastAttemptPause.
-func (c *Cell) spareLastAttempt(now time.Time, t *task, required Resources) bool {
+func (c *Cell) spareLastAttempt(now time.Time, t *task) bool {
 	if t.spec().LongRunning || t.failures()+1 < t.job.Queue.MaxAttempts {
 		return false
 	}
 	waited, limit := now.Sub(t.lastFailure()), c.allowedTime(t.job)
-	if !c.willFitElsewhere(now, t, required) {
+	if !c.willFitElsewhere(now, t) {
 		limit = min(limit, lastAttemptPause)
 	}
 	return waited <= limit
@@ -222,25 +219,21 @@
 
 // willFitElsewhere reports whether runners on which t was not tried have the capacity for it, or for
 // its gang, now or once those of their runs have ended that do not last.
-func (c *Cell) willFitElsewhere(now time.Time, t *task, required Resources) bool {
-	return c.placesFor(now, t, required, t.triedOn) >= len(t.members())
+func (c *Cell) willFitElsewhere(now time.Time, t *task) bool {
+	return c.placesFor(now, t, t.triedOn) >= len(t.members())
 }
 
-// placesFor returns how many tasks like t, which take the resources required, fit on the runners that
+// placesFor returns how many tasks like t fit on the runners that
 // may run it and for which except returns false, now or once those of their runs have ended that do
 // not last.
-func (c *Cell) placesFor(now time.Time, t *task, required Resources, except func(*runner) bool) int {
+func (c *Cell) placesFor(now time.Time, t *task, except func(*runner) bool) int {
 	places := 0
 	for _, r := range c.sorted {
-		if r.Service != t.job.Queue.Service || !r.isListed(now) || r.Draining || !r.fenced || r.isSilent(now, c.Settings.SilenceTimeout) ||
-			(t.spec().RequiredLabel != "" && !slices.Contains(r.Labels, t.spec().RequiredLabel)) || !t.adviceAllows(now, r) || except(r) {
+		if !r.suits(t.spec(), t.job.Queue.Service) || !r.isListed(now) || r.Draining || !r.fenced || r.isSilent(now, c.Settings.SilenceTimeout) ||
+			!t.adviceAllows(now, r) || except(r) {
 			continue
 		}
-		n := r.Capacity.sub(r.usedByLasting()).capacityFor(required)
-		if limit := t.spec().MaxPerRunner; limit > 0 {
-			n = min(n, limit)
-		}
-		places += n
+		places += r.places(t.spec(), r.Capacity.sub(r.usedByLasting()))
 	}
 	return places
 }
--- a/core/cell/ends.go
+++ b/core/cell/ends.go
@@ -65,11 +65,11 @@
 	if x != nil {
 		c.recordRunTime(now, x, e.Reason)
 	}
-	if t != nil {
+	if t != nil && j.isHere() {
 		t.saveCheckpoint(e.Run, e.Checkpoint)
 	}
 	switch {
-	case t == nil:
+	case t == nil || !j.isHere():
 		c.discardEnd(x, ref)
 	case j.state.Ended():
 		c.processTrailingEnd(j, x, ref)
--- a/core/cell/gang.go
+++ b/core/cell/gang.go
@@ -154,7 +154,7 @@
 
 // canHold reports whether the runners known now can hold all members of g, once they are free.
 func (c *Cell) canHold(now time.Time, g gang) bool {
-	return c.placesFor(now, g[0], requirements(g[0].spec()), func(*runner) bool { return false }) >= len(g)
+	return c.placesFor(now, g[0], func(*runner) bool { return false }) >= len(g)
 }
 
 // finishGang marks the other members of the gang of t as done when t has finished with
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -65,6 +65,14 @@
 	failureCount int       // number of failed runs
 	failedOn     []*runner // runners on which runs have failed
 	row          jobRow
+	place        Place
+	placing      bool                // other cells are asked whether they can run it
+	handed       bool                // the cell that has it has stored it
+	passing      bool                // it is being passed to that cell
+	passedAt     time.Time           // when it last was
+	taken        []func(stored bool) // callbacks of cells that have passed it on, until it is stored
+	waitsSince   time.Time           // since when it has waiting tasks and no run; zero if it has not been seen so
+	searchAt     time.Time           // earliest time of the next search for another cell
 
 	adviceByStep map[int]*advice // by step; nil if the queue needs no advice
 	unstoredEnds []unstoredEnd
@@ -197,7 +205,7 @@
 func (j *job) updateReady() {
 	j.readyTasks = 0
 	for s := range j.tasks {
-		unblocked := j.stepUnblocked(s) && !j.state.Ended()
+		unblocked := j.stepUnblocked(s) && !j.state.Ended() && j.isHere()
 		for _, t := range j.tasks[s] {
 			t.ready = unblocked && !t.done && t.run == nil
 			if t.ready {
--- a/core/cell/occur.go
+++ b/core/cell/occur.go
@@ -11,7 +11,7 @@
 	var due []*job
 	wall := int64(0)
 	for _, j := range c.jobs {
-		if j.released >= j.Occurrences() || !j.row.stored || j.state.Ended() {
+		if j.released >= j.Occurrences() || !j.row.stored || j.state.Ended() || !j.isHere() {
 			continue
 		}
 		if wall == 0 {
--- a/core/cell/places_test.go
+++ b/core/cell/places_test.go
@@ -31,6 +31,9 @@
 		{"spread", work.Step{Count: 9, MaxPerRunner: 1}, 0, "", 1, false},
 		{"a gang spread", work.Step{Count: 9, MaxPerRunner: 1, Gang: true}, 0, "", 1, false},
 		{"larger than any runner", work.Step{Count: 1, CPU: 33000}, 0, "", 0, true},
+		{"a label that no runner has", work.Step{Count: 1, RequiredLabel: "k9"}, 0, "", 0, true},
+		{"a gang spread over more runners than there are", work.Step{Count: 13, CPU: 1000, MaxPerRunner: 1, Gang: true}, 0, "", 0, true},
+		{"a gang larger than the runners with its label", work.Step{Count: 9, RequiredLabel: "k2", Gang: true}, 0, "", 0, true},
 		{"accelerators that no runner has", work.Step{Count: 1, GPU: 1}, 0, "", 0, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -73,3 +76,32 @@
 		})
 	}
 }
+
+// TestAdmissionCountsUsableRunners guards against jobs that are admitted for runners which leave or have
+// left.
+func TestAdmissionCountsUsableRunners(t *testing.T) {
+	t.Parallel()
+	for _, gone := range []func(w *world, r *simRunner){
+		func(_ *world, r *simRunner) { r.draining = true },
+		func(_ *world, r *simRunner) { r.inDirectory, r.dead = false, true },
+	} {
+		w := newWorld(1, 3, 32000)
+		w.runners["r1"].label = "g"
+		w.takeOver()
+		w.run(time.Second)
+		before := newJob(1, true, labelled("g", 1))
+		w.submit(before)
+		w.run(time.Second)
+		require.Equal(t, cell.Accepted, w.outcomes[before.ID].Verdict)
+		gone(w, w.runners["r1"])
+		w.updateDirectory()
+		w.run(3 * time.Second)
+		for i, transient := range []bool{false, true} {
+			j := newJob(2+i, transient, labelled("g", 1))
+			w.submit(j)
+			w.run(500 * time.Millisecond)
+			require.Equal(t, cell.ReasonNoRunnerFits, w.outcomes[j.ID].Reason)
+		}
+		require.Empty(t, w.violations)
+	}
+}
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/juju/errors"
-
 	"gypsumward/core/order"
 	"gypsumward/core/table"
 	"gypsumward/core/work"
@@ -36,6 +34,8 @@
 		j.updateReady()
 		c.addReady(j)
 		switch {
+		case !j.isHere():
+			c.away[id] = j
 		case j.complete():
 			c.finish(now, j, work.Succeeded)
 		case j.row.stored && len(j.cancels) > 0: // received with the job, before its row was read
@@ -65,21 +65,10 @@
 	return key
 }
 
-// decodeJob decodes the row of a job. It returns an error if the row holds no job that can run.
-func decodeJob(row table.Row) (w work.Job, err error) {
-	if err := json.Unmarshal(row.Value, &w); err != nil {
-		return w, err
-	}
-	if w.ID != nameFromKey(row.Key) {
-		return w, errors.Errorf("the row holds job %q", w.ID)
-	}
-	return w, w.Validate()
-}
-
 // restoreJob restores a job from its row. A row that holds no job that can run is set aside: it is
 // left unchanged until the job is cancelled, since another build may be able to run it.
 func (c *Cell) restoreJob(now time.Time, row table.Row) {
-	w, err := decodeJob(row)
+	w, place, err := DecodeJob(row)
 	if err != nil {
 		c.setAside[nameFromKey(row.Key)] = row.Version
 		c.Metrics.Count("badrow", 1)
@@ -87,14 +76,14 @@
 		return
 	}
 	if j := c.jobs[w.ID]; j != nil {
-		c.restoreResubmitted(j, row.Version)
+		c.restoreResubmitted(j, row.Version, place)
 		return
 	}
 	j := newJob(w, now)
-	j.inherited = true
+	j.inherited, j.place = true, place
 	j.row.stored, j.row.jobVersion = true, row.Version
 	j.due = now.Add(c.allowedTime(j))
-	j.setRunFloor((c.Term.TermNumber - 1) * runsPerTerm)
+	j.setRunFloor(j.runFloor(c.Term.TermNumber))
 	c.jobs[j.ID] = j
 }
 
@@ -115,9 +104,13 @@
 
 // restoreResubmitted marks a job as stored in a row of the given version. The job was
 // resubmitted before the rows were loaded.
-func (c *Cell) restoreResubmitted(j *job, version int64) {
-	j.inherited = true
+func (c *Cell) restoreResubmitted(j *job, version int64, place Place) {
+	j.inherited, j.place = true, place
+	j.setRunFloor(max(j.runFloor(c.Term.TermNumber), j.lastRun()))
 	j.row.stored, j.row.jobVersion = true, version
+	if !j.isHere() {
+		j.answerCancels(work.Unknown, false)
+	}
 	j.notifyWaiters(Outcome{Verdict: Accepted, State: work.Queued})
 }
 
@@ -128,14 +121,19 @@
 	if j == nil {
 		return
 	}
-	var p ProgressRow
-	if ok && part < len(j.row.parts) {
-		j.row.parts[part].version = row.Version
-	} else {
-		ok = false
+	if !ok || part >= len(j.row.parts) {
+		c.log("event", "badrow", "key", row.Key)
+		return
 	}
-	if err := json.Unmarshal(row.Value, &p); err != nil || !ok {
-		c.log("event", "badrow", "key", row.Key, "err", err)
+	j.row.parts[part].version = row.Version
+	c.restorePart(j, part, row.Value)
+}
+
+// restorePart restores a part of the progress of j from its value.
+func (c *Cell) restorePart(j *job, part int, value []byte) {
+	var p ProgressRow
+	if err := json.Unmarshal(value, &p); err != nil {
+		c.log("event", "badrow", "job", j.ID, "part", part, "err", err)
 		return
 	}
 	for s, done := range p.Done {
--- a/core/cell/rows.go
+++ b/core/cell/rows.go
@@ -43,16 +43,25 @@
 	Runners []string `json:"on,omitempty"`
 }
 
-// EndRow is the value of the row that holds the end of a job.
+// EndRow is the value of the row that holds the end of a job. A row without a state says that a job has
+// returned to its home: a write that stored the job here earlier must not take effect late.
 type EndRow struct {
-	State work.State `json:"state"`
+	State work.State `json:"state,omitempty"`
+
+	// Home and Number are those of the Place of a job whose home is another cell.
+	Home   string `json:"home,omitempty"`
+	Number int    `json:"number,omitempty"`
 }
 
 // jobRow is the state of the rows of a job. Versions are zero if there is no row.
 type jobRow struct {
 	stored     bool
-	dirty      bool // present in rowWriter.dirty
-	inFlight   bool // part of a transaction in flight
+	dirty      bool  // present in rowWriter.dirty
+	inFlight   bool  // part of a transaction in flight
+	placeDue   bool  // the row of the job is to be written with another place
+	partsDue   bool  // with all parts of the progress
+	dropDue    bool  // the rows are to be removed, since the job is at its home again
+	endVersion int64 // of the row that says that the job has returned to its home before; zero if there is none
 	jobVersion int64
 	parts      []progressPart
 }
--- a/core/cell/run.go
+++ b/core/cell/run.go
@@ -149,7 +149,7 @@
 		x.resources = requirements(t.spec())
 		r.used = r.used.add(x.resources)
 	}
-	if t != nil && !t.done && t.run == nil && !t.job.state.Ended() {
+	if t != nil && !t.done && t.run == nil && !t.job.state.Ended() && t.job.isHere() {
 		x.task, t.run = t, x
 		t.job.updateReady()
 		c.log("event", "adopt", "runner", r.ID, "job", key.task.Job, "task", key.task.Index, "run", key.run, "last", t.lastRun)
--- a/core/cell/runner_world_test.go
+++ b/core/cell/runner_world_test.go
@@ -26,6 +26,7 @@
 	cpu          int
 	kind         string
 	rack         string
+	label        string
 	inDirectory  bool
 	draining     bool // as stated in its directory entry
 	unreachable  bool
@@ -115,7 +116,7 @@
 // directoryEntry returns the directory entry of the current incarnation.
 func (r *simRunner) directoryEntry() cell.RunnerInfo {
 	return cell.RunnerInfo{
-		ID: r.id, Addr: r.id, Service: "s", MachineKind: r.kind, Rack: r.rack, Incarnation: r.startTime, Labels: []string{"a", r.rack}, Draining: r.draining,
+		ID: r.id, Addr: r.id, Service: "s", MachineKind: r.kind, Rack: r.rack, Incarnation: r.startTime, Labels: []string{"a", r.rack, r.label}, Draining: r.draining,
 		Capacity: cell.Resources{CPU: r.cpu, Memory: 1 << 20},
 	}
 }
@@ -186,6 +187,7 @@
 	}
 	r.extendLease(s.Deadline)
 	r.checkStart(s)
+	w.lastRuns[s.Task] = max(w.lastRuns[s.Task], s.Run)
 	step := w.submitted[s.Task.Job].Steps[s.Task.Step]
 	duration := time.Duration(float64(step.Estimate)*(0.7+0.6*w.rng.Float64())*r.slowdown) * time.Millisecond
 	if factor, found := w.realTimes[s.Task.Job]; found {
@@ -250,7 +252,7 @@
 	if used > r.cpu {
 		w.recordViolation("LIMIT %s %v: %d of %d", r.id, s.Task, used, r.cpu)
 	}
-	for _, other := range w.runners {
+	for _, other := range w.allRunners() {
 		if x := other.runs[s.Task]; x != nil && !other.dead {
 			w.recordViolation("TWICE %v runs on %s (run %d) and starts on %s (run %d)", s.Task, other.id, x.number, r.id, s.Run)
 		}
@@ -258,6 +260,9 @@
 	if j.Transient {
 		return
 	}
+	if s.Run <= w.lastRuns[s.Task] && w.faults.delayedOrder == 0 {
+		w.recordViolation("run %d of %v after run %d", s.Run, s.Task, w.lastRuns[s.Task])
+	}
 	if s.Checkpoint != "" && !strings.HasPrefix(s.Checkpoint, w.checkpointPrefix(s.Task)) {
 		w.recordViolation("UNASKED %v from %q", s.Task, s.Checkpoint)
 	}
@@ -269,6 +274,15 @@
 	}
 }
 
+// allRunners returns the runners of this cell and of the others.
+func (w *world) allRunners() []*simRunner {
+	list := slices.Collect(maps.Values(w.runners))
+	for _, other := range w.others {
+		list = slices.AppendSeq(list, maps.Values(other.runners))
+	}
+	return list
+}
+
 // checkStoredStart records the guarantees that the start of a task of a stored job
 // violates whose step is not long-running.
 func (r *simRunner) checkStoredStart(s order.Start, j *work.Job) {
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -30,7 +30,7 @@
 		reply(Outcome{Verdict: OutcomeUnknown})
 		return
 	}
-	if end, ok := c.endedJobs.jobs[w.ID]; ok && !end.left {
+	if end, ok := c.endedJobs.jobs[w.ID]; ok && !end.left && end.state.Ended() {
 		reply(Outcome{Verdict: Accepted, State: end.state})
 		return
 	}
@@ -58,20 +58,11 @@
 	}
 	j := newJob(w, now.Add(-time.Duration(submission.AgeMS)*time.Millisecond))
 	j.inherited = submission.Resubmitted || hasRuns
-	if reason, after := c.refusalReason(now, j); reason != "" {
-		c.Metrics.Count("refused_"+reason, 1)
-		c.log("event", "refuse", "job", w.ID, "queue", w.Queue.Name, "reason", reason, "tasks", w.TaskCount(),
-			"after", after, "backlog", c.backlog(now))
-		reply(Outcome{Verdict: Refused, Reason: reason, RetryAfter: after})
-		return
-	}
-	if submission.RoomOnly && !j.inherited && !c.hasRoom(now, j) {
-		c.Metrics.Count("refused_"+ReasonNoRoom, 1)
-		reply(Outcome{Verdict: Refused, Reason: ReasonNoRoom, RetryAfter: fromMilliseconds(c.backlog(now))})
+	if !c.admit(now, j, submission, reply) {
 		return
 	}
 	j.waiting = append(j.waiting, waiter{submission.Caller, reply})
-	j.setRunFloor(max((c.Term.TermNumber-1)*runsPerTerm, c.endedJobs.jobs[w.ID].lastRun))
+	j.setRunFloor(max(j.runFloor(c.Term.TermNumber), c.endedJobs.jobs[w.ID].lastRun))
 	c.jobs[w.ID] = j
 	c.claimOrphans(now, j)
 	if w.Transient {
@@ -83,6 +74,43 @@
 	c.schedulePass()
 }
 
+// admit decides on the admission of j. If j is not admitted here, it answers the submission, or asks the
+// other cells.
+func (c *Cell) admit(now time.Time, j *job, submission Submission, reply func(Outcome)) bool {
+	reason, after := c.refusalReason(now, j)
+	switch {
+	case reason == ReasonNoRunnerFits && !j.Transient && c.Neighbours != nil:
+		c.submitElsewhere(now, j, waiter{submission.Caller, reply})
+		return false
+	case reason != "":
+		c.log("event", "refuse", "job", j.ID, "queue", j.Queue.Name, "reason", reason, "tasks", j.TaskCount(),
+			"after", after, "backlog", c.backlog(now))
+	case submission.RoomOnly && !j.inherited && !c.hasRoom(now, j):
+		reason, after = ReasonNoRoom, fromMilliseconds(c.backlog(now))
+	default:
+		return true
+	}
+	c.Metrics.Count("refused_"+reason, 1)
+	reply(Outcome{Verdict: Refused, Reason: reason, RetryAfter: after})
+	return false
+}
+
+// submitElsewhere asks the other cells for one that can run a job which the runners of this cell cannot
+// run. The job is accepted or refused once they have answered.
+func (c *Cell) submitElsewhere(now time.Time, j *job, w waiter) {
+	j.waiting = append(j.waiting, w)
+	j.setRunFloor(j.runFloor(c.Term.TermNumber))
+	j.placing = true
+	c.jobs[j.ID] = j
+	answers, known := c.answers(now, j.query(), j)
+	switch {
+	case known:
+		c.admitElsewhere(now, j, answers)
+	case c.searches.byQuery[string(encode(j.query()))] == nil:
+		c.refuse(j, ReasonNoRunnerFits, retryAfter) // too many searches are in flight
+	}
+}
+
 // Knows reports whether the cell knows a job, or its end.
 func (c *Cell) Knows(id string) bool {
 	_, ended := c.endedJobs.jobs[id]
@@ -238,9 +266,13 @@
 // meanwhile.
 func (c *Cell) acceptStored(now time.Time, j *job) {
 	c.accept(now, j)
-	if len(j.cancels) > 0 {
+	switch {
+	case !j.isHere():
+		j.answerCancels(work.Unknown, false)
+	case len(j.cancels) > 0:
 		c.finish(now, j, work.Cancelled)
 	}
+	c.placeStored(now, j)
 }
 
 // accept makes the tasks of a job available to start. The row of the job is stored, or
@@ -293,7 +325,7 @@
 // task. Known is false before the rows of the jobs have been read.
 func (c *Cell) PendingJobs(queue string) (n int, known bool) {
 	for _, j := range c.jobs {
-		if j.Queue.Name == queue && j.row.stored && !j.state.Ended() && !j.hasStarted() {
+		if j.Queue.Name == queue && j.row.stored && !j.state.Ended() && j.place.To == "" && !j.hasStarted() {
 			n++
 		}
 	}
@@ -331,6 +363,9 @@
 	case j == nil && c.loaded:
 		reply(work.Unknown, true)
 		return
+	case j != nil && j.row.stored && !j.isHere():
+		reply(work.Unknown, false)
+		return
 	case j == nil && len(c.pendingCancels) >= maxPendingCancels:
 		reply(work.Unknown, false)
 		return
--- a/core/cell/transaction.go
+++ b/core/cell/transaction.go
@@ -187,18 +187,44 @@
 	switch {
 	case ch.endsJob:
 		c.closeJob(now, j, version)
+	case ch.dropsJob:
+		c.dropJob(now, j, version)
 	case !j.row.stored:
+		ch.setVersions(version)
 		j.row.jobVersion = version
 		c.acceptStored(now, j)
+	case ch.placesJob:
+		ch.setVersions(version)
+		j.row.jobVersion = version
+		c.placeStored(now, j)
 	default:
-		for _, p := range ch.parts {
-			j.row.parts[p].version, j.row.parts[p].storedThrough = version, ch.through
-		}
+		ch.setVersions(version)
 		j.ackStored()
 	}
 	return true
 }
 
+// setVersions records the version of the rows of the parts in ch, which are stored.
+func (ch *change) setVersions(version int64) {
+	for _, p := range ch.parts {
+		part := &ch.job.row.parts[p]
+		part.version, part.storedThrough = version, ch.through
+	}
+}
+
+// dropJob forgets a job that is at its home again.
+func (c *Cell) dropJob(now time.Time, j *job, version int64) {
+	c.log("event", "returned", "job", j.ID, "number", j.place.Number)
+	c.endedJobs.add(j.ID, jobEnd{at: now, version: version, number: j.place.Number})
+	c.removeReady(j)
+	delete(c.jobs, j.ID)
+	for _, reply := range j.taken {
+		reply(true)
+	}
+	j.answerCancels(work.Unknown, false)
+	j.answerQueries(work.Unknown)
+}
+
 // outcome determines from the conflicting rows whether the change is among the causes of
 // the conflict, and whether that is because an earlier attempt has applied it. Version is
 // then the highest version of the rows written.
@@ -229,7 +255,16 @@
 	c.log("event", "conflict", "job", j.ID, "stored", j.row.stored, "final", ch.endsJob, "rows", len(conflicts))
 	if r, ok := conflicts[c.Key(TableEnds, j.ID)]; ok && r.Version != 0 {
 		var e EndRow
-		if json.Unmarshal(r.Value, &e) == nil && e.State.Ended() {
+		if json.Unmarshal(r.Value, &e) == nil && e.returned() && e.Number < j.place.Number {
+			j.row.endVersion = r.Version
+			c.markDirty(j)
+			return
+		}
+		if e.returned() { // it was passed on once more before it did
+			c.dropJob(now, j, r.Version)
+			return
+		}
+		if e.State.Ended() {
 			j.state = e.State
 		}
 		c.closeJob(now, j, r.Version)
@@ -238,6 +273,9 @@
 	if r, ok := conflicts[c.Key(TableJobs, j.ID)]; ok {
 		j.row.jobVersion = r.Version
 		if !j.row.stored && r.Version != 0 {
+			if _, place, err := DecodeJob(r); err == nil {
+				j.place = place
+			}
 			c.acceptStored(now, j)
 		}
 	}
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -20,6 +20,8 @@
 // world simulates a store, runners and the successive holders of one cell on a virtual
 // clock. It records every violation of a guarantee of the cell.
 type world struct {
+	cellName      string
+	others        map[string]*world // those of the other cells by name, with a clock of their own
 	rng           *rand.Rand
 	now           time.Time
 	queue         events
@@ -36,6 +38,7 @@
 	openQuestions int                  // number of unanswered questions to the adviser
 
 	submitted     map[string]*work.Job
+	lastRuns      map[work.Task]int          // highest number of a started run of each task
 	finished      map[work.Task]bool         // tasks of which a run has finished
 	ackedFinished map[string]bool            // tasks whose finished run is acknowledged, by printed name
 	ackedFailures map[work.Task]map[int]bool // numbers of the acknowledged failed runs by task or gang
@@ -84,9 +87,11 @@
 // and cpu thousandths of a core each.
 func newWorld(seed uint64, runners int, cpu int) *world {
 	w := &world{
-		rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
-		store: &simStore{values: map[string]table.Row{}}, runners: map[string]*simRunner{},
+		cellName: "c0",
+		rng:      rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
+		store: &simStore{cellName: "c0", values: map[string]table.Row{}}, runners: map[string]*simRunner{},
 		finished:  map[work.Task]bool{},
+		lastRuns:  map[work.Task]int{},
 		submitted: map[string]*work.Job{}, ackedFinished: map[string]bool{}, ackedFailures: map[work.Task]map[int]bool{}, endCounts: map[order.EndReason]int{}, resumedFrom: map[work.Task]string{},
 		outcomes: map[string]cell.Outcome{}, callerWaits: map[string]bool{}, realTimes: map[string]float64{},
 		faults: faults{delay: 2 * time.Millisecond}, endsPerReply: 500,
@@ -166,24 +171,27 @@
 // takeOverFrom is like takeOver from a holder whose lease ends at a time, zero if it has ended.
 func (w *world) takeOverFrom(previousEnd time.Time) *process {
 	p := &process{world: w, termNumber: len(w.processes) + 1}
-	key := "c0/cells/holder"
+	key := w.holderKey()
 	w.store.version++
 	w.store.values[key] = table.Row{Key: key, Version: w.store.version, Value: json.RawMessage(`1`)}
 	previousRunners, previousAlive := fingerprint.Set(0), time.Time{}
 	if p.termNumber > 1 {
 		previousRunners, previousAlive = w.holder().runnerSet, w.holder().aliveAt
 	}
-	p.cell = cell.New(cell.Term{Cell: "c0", HolderKey: "c0/cells/holder", Epoch: w.store.version, TermNumber: p.termNumber, PreviousRunners: previousRunners, PreviousEnd: previousEnd, PreviousAlive: previousAlive}, cell.Settings{}, w.now)
+	p.cell = cell.New(cell.Term{Cell: w.cellName, HolderKey: key, Epoch: w.store.version, TermNumber: p.termNumber, PreviousRunners: previousRunners, PreviousEnd: previousEnd, PreviousAlive: previousAlive}, cell.Settings{}, w.now)
 	p.epoch = w.store.version
 	p.cell.Orders, p.cell.Store, p.cell.Adviser = p, p, p
+	if len(w.others) > 0 {
+		p.cell.Neighbours = p
+	}
 	w.openQuestions = 0
 	p.cell.WallClock = func() int64 { return w.now.UnixMilli() }
 	w.processes = append(w.processes, p)
 	p.exec(func() { p.cell.UpdateDirectory(w.now, w.directory()) })
 	w.after(3*w.jitter()+w.loadDelay, func() {
-		jobs, progress := w.store.scan("c0/jobs/"), w.store.scan("c0/progress/")
+		jobs, progress := w.store.scan(w.cellName+"/jobs/"), w.store.scan(w.cellName+"/progress/")
 		w.after(w.jitter(), func() { p.exec(func() { p.cell.LoadJobs(w.now, jobs, progress) }) })
-		ends := w.store.scan("c0/ends/")
+		ends := w.store.scan(w.cellName + "/ends/")
 		w.after(time.Second, func() { p.exec(func() { p.cell.LoadEnds(w.now, ends) }) })
 	})
 	p.renew()
@@ -191,6 +199,9 @@
 	return p
 }
 
+// holderKey returns the key of the holder's row.
+func (w *world) holderKey() string { return w.cellName + "/cells/holder" }
+
 // unlist removes runners from the directory for a time.
 func (w *world) unlist(d time.Duration, ids ...string) {
 	set := func(listed bool) {
@@ -364,7 +375,7 @@
 	}
 	sent := p.world.now
 	p.exec(func() {
-		if !p.storeUnreachable && !p.world.store.down && p.world.store.values["c0/cells/holder"].Version == p.epoch {
+		if !p.storeUnreachable && !p.world.store.down && p.world.store.values[p.world.holderKey()].Version == p.epoch {
 			p.leaseUntil, p.aliveAt = sent.Add(simHolderLease), sent
 			p.cell.ExtendLease(p.leaseUntil)
 			p.runnerSet = p.cell.RunnerSet(p.world.now)
@@ -487,7 +498,7 @@
 	w := p.world
 	answer := func(a cell.WriteResult) { p.exec(func() { p.cell.WriteAnswered(w.now, number, a) }) }
 	lost := w.chance(w.faults.lostWriteResult)
-	if first := tx.Ops[0]; first.Key != "c0/cells/holder" || first.IfVersion != p.epoch {
+	if first := tx.Ops[0]; first.Key != w.holderKey() || first.IfVersion != p.epoch {
 		w.recordViolation("write is not conditional on the version of the holder's row")
 	}
 	w.after(4*w.jitter()+p.writeDelay, func() {
@@ -524,10 +535,11 @@
 
 // simStore is a store of versioned rows in memory.
 type simStore struct {
-	values  map[string]table.Row
-	version int64
-	down    bool
-	odd     string // a key that it refuses to write, if not empty
+	cellName string
+	values   map[string]table.Row
+	version  int64
+	down     bool
+	odd      string // a key that it refuses to write, if not empty
 }
 
 // refuses returns why the store refuses a transaction as malformed, or an empty string.
@@ -593,13 +605,13 @@
 
 // state returns the state of a job according to its rows.
 func (s *simStore) state(id string) work.State {
-	if row, ok := s.values["c0/ends/"+id]; ok {
+	if row, ok := s.values[s.cellName+"/ends/"+id]; ok {
 		var e cell.EndRow
 		if json.Unmarshal(row.Value, &e) == nil {
 			return e.State
 		}
 	}
-	if _, ok := s.values["c0/jobs/"+id]; ok {
+	if _, ok := s.values[s.cellName+"/jobs/"+id]; ok {
 		return work.Running
 	}
 	return work.Unknown
--- a/core/cell/writer.go
+++ b/core/cell/writer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gypsumward/core/table"
+	"gypsumward/core/work"
 )
 
 // maxEntries is the maximum number of conditions and changes of jobs in a transaction. One
@@ -26,6 +27,9 @@
 	parts   []int // parts of the progress that it writes
 	through int   // number of the last end with its effects in them
 	endsJob bool  // it stores the end of the job
+
+	placesJob bool // it stores another place of the job
+	dropsJob  bool // it removes the rows of a job that is at its home again
 }
 
 // rowWriter is the state of the writes of job rows.
@@ -154,28 +158,47 @@
 // nextChange returns the change to write for j now, or nil if there is none.
 func (c *Cell) nextChange(j *job) *change {
 	switch {
+	case j.placing:
+		return nil
 	case !j.row.stored:
-		return &change{job: j, ops: []table.Op{
-			{Key: c.Key(TableJobs, j.ID), Value: encode(&j.Job)},
-			{Key: c.Key(TableEnds, j.ID), CheckOnly: true},
+		ch := &change{job: j, ops: []table.Op{
+			{Key: c.Key(TableJobs, j.ID), Value: encodeJob(&j.Job, j.place)},
+			{Key: c.Key(TableEnds, j.ID), IfVersion: j.row.endVersion, CheckOnly: j.row.endVersion == 0, Delete: j.row.endVersion != 0},
 		}}
-	case j.state.Ended():
-		ops := []table.Op{
-			{Key: c.Key(TableEnds, j.ID), Value: encode(EndRow{State: j.state})},
-			{Key: c.Key(TableJobs, j.ID), IfVersion: j.row.jobVersion, Delete: true},
+		if j.place.Home != "" {
+			c.addAllParts(ch)
 		}
-		for p, part := range j.row.parts {
-			if part.version != 0 {
-				ops = append(ops, table.Op{Key: c.partKey(j, p), IfVersion: part.version, Delete: true})
-			}
-		}
-		return &change{job: j, ops: ops, endsJob: true}
+		return ch
+	case j.row.dropDue:
+		return &change{job: j, ops: c.endOps(j, work.Unknown), dropsJob: true}
+	case j.state.Ended():
+		return &change{job: j, ops: c.endOps(j, j.state), endsJob: true}
+	case j.row.placeDue:
+		return c.placeChange(j)
 	case j.hasDuePart():
 		return c.progressChange(j)
 	}
 	return nil
 }
 
+// endOps returns the operations that replace the rows of j and its progress by that of an end.
+func (c *Cell) endOps(j *job, state work.State) []table.Op {
+	end := EndRow{State: state}
+	if j.place.Home != "" {
+		end.Home, end.Number = j.place.Home, j.place.Number
+	}
+	ops := []table.Op{
+		{Key: c.Key(TableEnds, j.ID), Value: encode(end)},
+		{Key: c.Key(TableJobs, j.ID), IfVersion: j.row.jobVersion, Delete: true},
+	}
+	for p, part := range j.row.parts {
+		if part.version != 0 {
+			ops = append(ops, table.Op{Key: c.partKey(j, p), IfVersion: part.version, Delete: true})
+		}
+	}
+	return ops
+}
+
 // closeJob completes a job whose end is stored in a row of the given version, or which has
 // no row if the version is zero. It notifies all waiting callers. The job is kept while one
 // of its runs may be alive.
@@ -185,7 +208,7 @@
 	}
 	j.unstoredEnds = nil
 	c.removeReady(j)
-	c.endedJobs.add(j.ID, jobEnd{state: j.state, at: now, version: version, lastRun: j.lastRun()})
+	c.endedJobs.add(j.ID, jobEnd{state: j.state, at: now, version: version, lastRun: j.lastRun(), home: j.place.Home, number: j.place.Number})
 	if !c.hasRuns(j) {
 		delete(c.jobs, j.ID)
 	}
--- a/core/eventloop/loop.go
+++ b/core/eventloop/loop.go
@@ -347,7 +347,8 @@
 // Cancelled is the result of Cancel.
 type Cancelled struct {
 	State  work.State `json:"state"`
-	Stored bool       `json:"stored"` // the end of the job is stored
+	Stored bool       `json:"stored"`       // the end of the job is stored
+	To     string     `json:"to,omitempty"` // cell that has the job; empty if it is this one, or no cell is known to
 }
 
 // Cancel ends a job and waits until its end is stored or the term is over. The state is
@@ -364,23 +365,37 @@
 }
 
 func (m cancelMessage) Apply(c *cell.Cell, now time.Time) {
+	if to := c.MovedTo(m.id); to != "" {
+		m.reply <- Cancelled{To: to}
+		return
+	}
 	c.Cancel(now, m.id, func(s work.State, stored bool) { m.reply <- Cancelled{State: s, Stored: stored} })
 }
 
-// State returns the state of a job, work.Unknown if the cell does not know the job.
-// Errors are those of Submit.
-func (l *Loop) State(ctx context.Context, id string) (work.State, error) {
-	m := stateMessage{id: id, reply: make(chan work.State, 1)}
-	return request(ctx, l, m, m.reply)
+// State returns the state of a job, work.Unknown if the cell does not know the job, or the cell that
+// has it if that is another one. Errors are those of Submit.
+func (l *Loop) State(ctx context.Context, id string) (state work.State, to string, err error) {
+	m := stateMessage{id: id, reply: make(chan stateReply, 1)}
+	v, err := request(ctx, l, m, m.reply)
+	return v.state, v.to, err
 }
 
 type stateMessage struct {
 	id    string
-	reply chan work.State
+	reply chan stateReply
+}
+
+type stateReply struct {
+	state work.State
+	to    string
 }
 
 func (m stateMessage) Apply(c *cell.Cell, now time.Time) {
-	c.QueryState(now, m.id, func(s work.State) { m.reply <- s })
+	if to := c.MovedTo(m.id); to != "" {
+		m.reply <- stateReply{to: to}
+		return
+	}
+	c.QueryState(now, m.id, func(s work.State) { m.reply <- stateReply{state: s} })
 }
 
 // request queues m, unless the queue is full, and waits for its reply. A reply that was
--- a/core/overflow/submitter.go
+++ b/core/overflow/submitter.go
@@ -12,7 +12,8 @@
 	"gypsumward/core/work"
 )
 
-// MaxCells is the number of cells to which a job is submitted before it is refused.
+// MaxCells is the number of cells to which a job is submitted before it is refused. Cells of which no
+// runner can run the job do not count.
 const MaxCells = 3
 
 // Cell is a cell that accepts or refuses jobs.
@@ -44,7 +45,7 @@
 // goneRetryAfter is the time after which the caller may submit such a job again.
 const goneRetryAfter = time.Second
 
-// Submit submits a job to at most MaxCells cells, those with a holder that can be reached
+// Submit submits a job to at most MaxCells cells that can run it, those with a holder that can be reached
 // first, otherwise in the given order: first to those that can start it at once, then, if
 // none can, until one does not refuse it, that with the least work first. If all refuse, it
 // returns the refusal of the first with the shortest of the times after which the caller may
@@ -59,13 +60,17 @@
 	over := func() bool { return s.gone(ctx) || deadline.Passed(s.Clock.Now()) }
 	reachable, unreachable := byReach(cells)
 	ordered := slices.Concat(reachable, unreachable)
-	ordered = ordered[:min(len(ordered), MaxCells)]
 	var refusals []cell.Outcome
 	var full []waitingCell
 	if len(ordered) == 1 {
 		return ordered[0].Submit(ctx, j, arrived, false)
 	}
+	tried := 0
 	for i, c := range ordered {
+		if tried == MaxCells {
+			break
+		}
+		tried++
 		if i >= len(reachable) {
 			full = append(full, waitingCell{c, unknownWait})
 			continue
@@ -74,9 +79,13 @@
 		if o.Verdict != cell.Refused || over() {
 			return o
 		}
-		if o.Reason == cell.ReasonNoRoom {
+		switch o.Reason {
+		case cell.ReasonNoRoom:
 			full = append(full, waitingCell{c, o.RetryAfter})
-		} else {
+		case cell.ReasonNoRunnerFits:
+			tried--
+			refusals = append(refusals, o)
+		default:
 			refusals = append(refusals, o)
 		}
 		s.OnHandedOver(j, c, o)
--- a/core/overflow/submitter_test.go
+++ b/core/overflow/submitter_test.go
@@ -75,6 +75,29 @@
 	require.Equal(t, []time.Time{time.Unix(100, 0)}, second.arrived)
 }
 
+// TestRunnersElsewhere guards against a job that is refused since its runners are in none of the first
+// cells, though another cell has them.
+func TestRunnersElsewhere(t *testing.T) {
+	t.Parallel()
+	unfit := cell.Outcome{Verdict: cell.Refused, Reason: cell.ReasonNoRunnerFits, RetryAfter: time.Second}
+	var cells []*fakeCell
+	for range 2 * overflow.MaxCells {
+		cells = append(cells, &fakeCell{outcome: unfit})
+	}
+	last := &fakeCell{outcome: done}
+	o, _ := submit(context.Background(), &clock{}, append(cells, last)...)
+	require.Equal(t, done, o)
+	o, _ = submit(context.Background(), &clock{}, cells...)
+	require.Equal(t, unfit, o)
+	crowded := []*fakeCell{{outcome: unfit}}
+	for range overflow.MaxCells {
+		crowded = append(crowded, &fakeCell{outcome: full})
+	}
+	last = &fakeCell{outcome: done}
+	_, _ = submit(context.Background(), &clock{}, append(crowded, last)...)
+	require.Empty(t, last.arrived, "enough cells that can run it were asked")
+}
+
 // TestNeverTwice has first cells that accept, fail or may have the job. No other cell may
 // get it.
 func TestNeverTwice(t *testing.T) {
--- a/core/proxy/cancel.go
+++ b/core/proxy/cancel.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gypsumward/core/eventloop"
+	"gypsumward/core/locate"
 	"gypsumward/core/work"
 )
 
@@ -12,32 +13,34 @@
 // holder does not know, unless the holder changes.
 const cancelInterval = 100 * time.Millisecond
 
-// Cancel ends a job and waits until its end is stored, by one holder after the other. Known is
-// false if there is no such job. The error is ErrNoHolder if the end may not be stored.
-func (p *Proxy) Cancel(ctx context.Context, id string) (state work.State, known bool, err error) {
+// Cancel ends a job and waits until its end is stored, by one holder after the other, unless another
+// cell has the job. The error is ErrNoHolder if the end may not be stored.
+func (p *Proxy) Cancel(ctx context.Context, id string) (locate.Answer, error) {
 	for {
 		v, err := p.cancelOnce(ctx, id)
 		switch {
 		case ctx.Err() != nil && (err != nil || !v.Stored):
-			return work.Unknown, false, ErrNoHolder
+			return locate.Answer{}, ErrNoHolder
 		case err != nil:
-			return work.Unknown, false, err
+			return locate.Answer{}, err
+		case v.To != "":
+			return locate.Answer{To: v.To}, nil
 		case v.Stored && v.State != work.Unknown:
-			return v.State, true, nil
+			return locate.Answer{State: v.State, Known: true}, nil
 		case v.Stored:
 			// A job that is not in the rows has never been accepted; one that is has not ended.
-			state, known, err := p.readStoredState(ctx, id)
-			if err == nil && (!known || state.Ended()) {
-				return state, known, nil
+			stored, err := p.readStored(ctx, id)
+			if err == nil && stored.To == "" && (!stored.Known || stored.State.Ended()) {
+				return stored, nil
 			}
 			if err != nil && ctx.Err() == nil {
-				return work.Unknown, false, err
+				return locate.Answer{}, err
 			}
 		}
 		p.Elector.Refresh()
 		p.awaitHolder(ctx, cancelInterval)
 		if ctx.Err() != nil {
-			return work.Unknown, false, ErrNoHolder
+			return locate.Answer{}, ErrNoHolder
 		}
 	}
 }
--- a/core/proxy/cancel_test.go
+++ b/core/proxy/cancel_test.go
@@ -36,10 +36,10 @@
 		next.cancelled = func() eventloop.Cancelled { return eventloop.Cancelled{State: work.Cancelled, Stored: true} }
 		c.follow(former.addr)
 		time.AfterFunc(50*time.Millisecond, func() { c.follow(next.addr) })
-		state, known, err := c.Cancel(t.Context(), "j")
+		a, err := c.Cancel(t.Context(), "j")
 		require.NoError(t, err)
-		require.True(t, known)
-		require.Equal(t, work.Cancelled, state)
+		require.True(t, a.Known)
+		require.Equal(t, work.Cancelled, a.State)
 	}
 }
 
@@ -54,7 +54,7 @@
 		h.cancelled = func() eventloop.Cancelled { return answer }
 		c.follow(h.addr)
 		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
-		_, _, err := c.Cancel(ctx, "j")
+		_, err := c.Cancel(ctx, "j")
 		cancel()
 		require.ErrorIs(t, err, proxy.ErrNoHolder)
 	}
@@ -67,7 +67,7 @@
 	h := startHolder(t, accepts)
 	h.cancelled = func() eventloop.Cancelled { return eventloop.Cancelled{State: work.Unknown, Stored: true} }
 	c.follow(h.addr)
-	_, known, err := c.Cancel(t.Context(), "j")
+	a, err := c.Cancel(t.Context(), "j")
 	require.NoError(t, err)
-	require.False(t, known)
+	require.False(t, a.Known)
 }
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -16,6 +16,7 @@
 	"gypsumward/core/eventloop"
 	"gypsumward/core/fingerprint"
 	"gypsumward/core/hangup"
+	"gypsumward/core/locate"
 	"gypsumward/core/peer"
 	"gypsumward/core/promise"
 	"gypsumward/core/span"
@@ -33,6 +34,9 @@
 	methodHello   = "cell.hello"
 	methodHolder  = "cell.holder"
 	methodRelease = "cell.release"
+	methodAnswers = "cell.answers"
+	methodTake    = "cell.take"
+	methodEnds    = "cell.ends"
 )
 
 // Timeouts and intervals of calls.
@@ -121,8 +125,8 @@
 		if err != nil {
 			return queryReply{}, err
 		}
-		v, err := l.State(ctx, q.Name)
-		return queryReply{State: v}, toFault(err)
+		state, to, err := l.State(ctx, q.Name)
+		return queryReply{State: state, To: to}, toFault(err)
 	})
 	peer.Handle(s, p.method(methodPending), func(ctx context.Context, q query) (queryReply, error) {
 		l, err := p.localLoop()
@@ -132,6 +136,7 @@
 		v, err := l.Pending(ctx, q.Name)
 		return queryReply{Count: v}, toFault(err)
 	})
+	p.registerNeighbourMethods(s)
 	peer.Handle(s, p.method(methodHello), p.handleHello)
 	peer.Handle(s, p.method(methodHolder), p.handleHanded)
 	peer.Handle(s, p.method(methodRelease), func(_ context.Context, r release) (struct{}, error) {
@@ -176,6 +181,7 @@
 
 type queryReply struct {
 	State work.State `json:"state,omitempty"`
+	To    string     `json:"to,omitempty"` // cell that has the job, if it is another one
 	Count int        `json:"count,omitempty"`
 }
 
@@ -423,43 +429,44 @@
 	}
 }
 
-// State returns the state of a job, from its rows if no holder reports it. Known is false
-// if there is no such job.
-func (p *Proxy) State(ctx context.Context, id string) (state work.State, known bool, err error) {
+// State asks for the state of a job, and looks at its rows if no holder reports it.
+func (p *Proxy) State(ctx context.Context, id string) (locate.Answer, error) {
 	var v queryReply
-	err = p.callHolderRetrying(ctx, methodState, query{id}, &v, func(ctx context.Context, l *eventloop.Loop) error {
+	err := p.callHolderRetrying(ctx, methodState, query{id}, &v, func(ctx context.Context, l *eventloop.Loop) error {
 		var err error
-		v.State, err = l.State(ctx, id)
+		v.State, v.To, err = l.State(ctx, id)
 		return err
 	})
-	if err == nil && v.State != work.Unknown {
-		return v.State, true, nil
+	if err == nil && (v.State != work.Unknown || v.To != "") {
+		return locate.Answer{State: v.State, Known: v.To == "", To: v.To}, nil
 	}
-	return p.readStoredState(ctx, id)
+	return p.readStored(ctx, id)
 }
 
-// readStoredState returns the state of a job according to its rows. Known is false if it
-// has none.
-func (p *Proxy) readStoredState(ctx context.Context, id string) (state work.State, known bool, err error) {
+// readStored returns what the rows of a job say of it.
+func (p *Proxy) readStored(ctx context.Context, id string) (locate.Answer, error) {
 	limited, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	for range 2 { // the job may end between the reads of the two tables
 		ends, err := p.Store.Read(limited, table.Read{Keys: []string{p.Cell + "/" + cell.TableEnds + "/" + id}})
 		if err != nil {
-			return work.Unknown, false, err
+			return locate.Answer{}, err
 		}
 		if s, ok := decodeEndState(ends); ok {
-			return s, true, nil
+			return locate.Answer{State: s, Known: true}, nil
 		}
 		jobs, err := p.Store.Read(limited, table.Read{Keys: []string{p.Cell + "/" + cell.TableJobs + "/" + id}})
 		if err != nil {
-			return work.Unknown, false, err
+			return locate.Answer{}, err
 		}
 		if len(jobs.Rows) > 0 && jobs.Rows[0].Version != 0 {
-			return work.Running, true, nil
+			if _, place, err := cell.DecodeJob(jobs.Rows[0]); err == nil && place.To != "" {
+				return locate.Answer{To: place.To}, nil
+			}
+			return locate.Answer{State: work.Running, Known: true}, nil
 		}
 	}
-	return work.Unknown, false, nil
+	return locate.Answer{}, nil
 }
 
 // Pending returns the number of jobs of a queue of which no task has started yet.
--- a/core/proxy/submit.go
+++ b/core/proxy/submit.go
@@ -98,12 +98,14 @@
 	if o.Verdict != cell.Refused || j.Transient {
 		return o
 	}
-	state, known, err := p.readStoredState(ctx, j.ID)
+	stored, err := p.readStored(ctx, j.ID)
 	switch {
 	case err != nil:
 		return cell.Outcome{Verdict: cell.OutcomeUnknown, Reason: o.Reason}
-	case known:
-		return cell.Outcome{Verdict: cell.Accepted, State: state}
+	case stored.Known:
+		return cell.Outcome{Verdict: cell.Accepted, State: stored.State}
+	case stored.To != "":
+		return cell.Outcome{Verdict: cell.Accepted, State: work.Running}
 	}
 	return o
 }
--- a/gypsumward/hosted/jobservice.go
+++ b/gypsumward/hosted/jobservice.go
@@ -4,8 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
+
 	"gypsumward/core/cell"
 	"gypsumward/core/hangup"
+	"gypsumward/core/locate"
 	"gypsumward/core/overflow"
 	"gypsumward/core/proxy"
 	"gypsumward/core/work"
@@ -81,38 +84,53 @@
 // Cancel cancels a job. It returns known as false if there is no such job, and
 // proxy.ErrNoHolder if the plan is not known yet.
 func (s jobService) Cancel(ctx context.Context, id string) (state work.State, known bool, err error) {
-	return s.find(id, func(p *proxy.Proxy) (work.State, bool, error) { return p.Cancel(ctx, id) })
+	return s.find(ctx, id, 0, func(ctx context.Context, p *proxy.Proxy) (locate.Answer, error) { return p.Cancel(ctx, id) })
 }
 
+// stateAttempts is the number of attempts to ask for the state of a job that is being moved.
+const stateAttempts = 5
+
 // State returns the state of a job. It returns known as false if there is no such job,
 // and proxy.ErrNoHolder if the plan is not known yet.
 func (s jobService) State(ctx context.Context, id string) (state work.State, known bool, err error) {
-	return s.find(id, func(p *proxy.Proxy) (work.State, bool, error) { return p.State(ctx, id) })
+	state, known, err = s.find(ctx, id, stateAttempts, func(ctx context.Context, p *proxy.Proxy) (locate.Answer, error) { return p.State(ctx, id) })
+	if errors.Is(err, locate.ErrMoving) {
+		return work.Queued, true, nil // it has nothing running while it is moved
+	}
+	return state, known, err
 }
 
-// find calls ask for the cell to which a stored job with the given id belongs, then for
-// those to which this instance would have submitted one that is not stored, until one
-// knows the job or fails.
-func (s jobService) find(id string, ask func(p *proxy.Proxy) (work.State, bool, error)) (state work.State, known bool, err error) {
+// find calls ask for the cell that has the stored job with the given id, as that to which the job
+// belongs knows it, then for the cells to which this instance would have submitted one that is not
+// stored, until one knows the job or fails. A job that is being moved is looked for a number of times.
+func (s jobService) find(ctx context.Context, id string, attempts int, ask func(context.Context, *proxy.Proxy) (locate.Answer, error)) (state work.State, known bool, err error) {
 	participants := s.h.participants()
 	if participants == nil {
 		return work.Unknown, false, proxy.ErrNoHolder
 	}
 	plan := s.h.plan.Load()
 	home := plan.HomeOf(id)
+	locator := locate.Locator{Ask: func(ctx context.Context, name string) (locate.Answer, error) {
+		p := s.h.participantOf(name)
+		if p == nil {
+			return locate.Answer{}, proxy.ErrNoHolder
+		}
+		return ask(ctx, p.proxy)
+	}}
+	a, err := locator.Find(ctx, participants[home].name, attempts)
+	if a.Known || err != nil {
+		return a.State, a.Known, err
+	}
 	preferred := plan.Preferred(id, s.h.self.Zone)
-	numbers := []int{home}
 	for _, n := range preferred[:min(len(preferred), overflow.MaxCells)] {
-		if n != home {
-			numbers = append(numbers, n)
+		if n == home {
+			continue
 		}
-	}
-	for _, n := range numbers {
-		if state, known, err = ask(participants[n].proxy); known || err != nil {
+		if a, err = ask(ctx, participants[n].proxy); a.Known || err != nil {
 			break
 		}
 	}
-	return state, known, err
+	return a.State, a.Known, err
 }
 
 // Pending returns the number of jobs of a queue of which no task has started, summed
--- a/gypsumward/hosted/participant.go
+++ b/gypsumward/hosted/participant.go
@@ -77,6 +77,7 @@
 func (h *Host) newLoop(p *participant, t election.Term) *eventloop.Loop {
 	l := eventloop.New(t, p.name, h.bounds(), h.runnerClient, h.store, h.clock, p.log, h.metrics)
 	l.SetAdviser(h.adviser)
+	l.SetNeighbours(neighbours{p})
 	go p.followRunners(l)
 	p.setStandbysFrom(h.clock.Now())
 	go p.publish()
@@ -91,6 +92,16 @@
 	return nil
 }
 
+// participantOf returns the participant of the cell with the given name, or nil if there is none.
+func (h *Host) participantOf(name string) *participant {
+	for _, p := range h.participants() {
+		if p.name == name {
+			return p
+		}
+	}
+	return nil
+}
+
 // cellsHeld returns the number of cells that this instance holds.
 func (h *Host) cellsHeld() int {
 	n := 0
