election: reserves take over a cell whose data centre has lost its instances

Cause: all standbys of a cell are in its data centre, and all other instances waited for 22 s, from when they began to compete: the time for which promises can extend the term of a holder that is cut off.

Change: two reserves in other data centres. One takes over 2.5 s after the last heartbeat if runners of the cell answer it, after 7 s in any case. A holder that is cut off runs stored jobs for 5.5 s, longer only with the promises of its reserves, and lets leases lapse then; tokens keep it off all runners that the reserve reaches. Transient jobs go on without bound while cut off. Others count their 12 s from the first look at the rows, and notice a lost holder that nobody calls.

Ruled out: a shorter wait alone (two holders in a longer cut), standbys elsewhere whose promise is always needed (a cut stops the cell).

Tests fail without reserves.

--- a/core/cell/admit.go
+++ b/core/cell/admit.go
@@ -28,7 +28,7 @@
 		return ReasonLease, retryAfter
 	}
 	switch {
-	case !j.Transient && (c.storeDown(now) || !now.Before(c.leaseUntil)):
+	case !j.Transient && (c.storeDown(now) || !now.Before(c.storedUntil)):
 		return ReasonStore, retryAfter
 	case !c.fitsIdleRunners(now, j):
 		return ReasonNoRunnerFits, retryAfter
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -47,6 +47,9 @@
 	// PreviousEnd is when the previous holder has certainly stopped extending leases; zero
 	// means when the term begins.
 	PreviousEnd time.Time
+	// PreviousOpen means that the previous holder may go on with transient jobs after PreviousEnd, on
+	// runners that this one has not reached.
+	PreviousOpen bool
 	// PreviousAlive is a time at which the previous holder was certainly alive; zero if none is
 	// known.
 	PreviousAlive time.Time
@@ -96,7 +99,9 @@
 	deposed          bool
 	passPending      bool      // RunPass has work to do
 	draining         bool      // sends no more start orders
-	leaseUntil       time.Time // until when no other instance can have become the holder
+	leaseUntil       time.Time // until when orders may be sent: no other instance relies on transient jobs to have ended
+	storedUntil      time.Time // until when no other instance can start what this one may have started
+	allReached       bool      // all runners on which the previous holder may have runs have answered
 }
 
 // New returns a Cell without jobs and runners for the term t that begins at now. It
@@ -244,11 +249,35 @@
 // ExtendLease extends the time until which no other instance can have become the holder. An
 // earlier time than the current one has no effect.
 func (c *Cell) ExtendLease(until time.Time) {
+	c.ExtendOrders(until)
+	if until.After(c.storedUntil) {
+		c.storedUntil = until
+	}
+}
+
+// ExtendOrders extends the time until which orders may be sent for transient jobs: another instance may
+// become the holder, but does not start them, nor uses the runners that it has not reached. An earlier
+// time than the current one has no effect.
+func (c *Cell) ExtendOrders(until time.Time) {
 	if until.After(c.leaseUntil) {
 		c.leaseUntil = until
 	}
 }
 
+// mayStartJob reports whether start orders for j may be sent at now.
+func (c *Cell) mayStartJob(now time.Time, j *job) bool {
+	return c.mayStart(now) && (j.Transient || now.Before(c.storedUntil)) && (!j.inherited || c.mayStartInherited(now, j))
+}
+
+// mayStartInherited reports whether no run of j by a previous holder can be left.
+func (c *Cell) mayStartInherited(now time.Time, j *job) bool {
+	if !c.takenOver || !j.Transient || !c.Term.PreviousOpen || c.allReached {
+		return c.takenOver
+	}
+	// The previous holder stops the runs of callers that it has lost.
+	return now.Sub(j.received) > c.Settings.ResubmitAfter+c.Settings.longestLease()
+}
+
 // mayStart reports whether start orders may be sent at now.
 func (c *Cell) mayStart(now time.Time) bool {
 	return c.loaded && !c.deposed && !c.draining && now.Before(c.leaseUntil)
@@ -298,7 +327,7 @@
 // answered under a token of this holder, or the leases have expired. A runner with more ends than
 // it can list is waited for in any case, since its leases go on.
 func (c *Cell) completeTakeover(now time.Time) {
-	if c.takenOver || !c.loaded {
+	if !c.loaded || (c.takenOver && (c.allReached || !c.Term.PreviousOpen)) {
 		return
 	}
 	synced := 0
@@ -314,7 +343,8 @@
 		}
 	}
 	known := c.previousKnown || (c.Term.PreviousRunners != 0 && c.Term.PreviousRunners == c.directorySet())
-	if now.Before(c.takeoverDeadline) && (!known || !allSynced || synced == 0) {
+	c.allReached = known && allSynced && synced > 0
+	if c.takenOver || (now.Before(c.takeoverDeadline) && !c.allReached) {
 		return
 	}
 	c.takenOver = true
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -17,7 +17,7 @@
 	usable := c.usable(now, least)
 	for i := 0; i < len(c.ready) && len(usable) > 0; {
 		j := c.ready[i]
-		if j.inherited && !c.takenOver {
+		if !c.mayStartJob(now, j) {
 			i++
 			continue
 		}
--- a/core/cell/hold.go
+++ b/core/cell/hold.go
@@ -10,11 +10,14 @@
 // orderDeadline returns the lease deadline of an order sent at now, in milliseconds of
 // the runner's clock. It is zero if the lease must not be extended: the clock is not
 // known, the runner is silent, another instance may have become the holder, which relies
-// on all leases to expire, or a run there must end.
+// on all leases to expire, or on those of runners with stored jobs, or a run there must end.
 func (c *Cell) orderDeadline(now time.Time, r *runner) int64 {
 	if r.clock == 0 || r.isSilent(now, c.Settings.SilenceTimeout) || !now.Before(c.leaseUntil) {
 		return 0
 	}
+	if !c.mayExtend(now, r) {
+		return 0
+	}
 	lease := c.Settings.Lease - leaseMargin
 	if end := c.earliestEnd(r); !end.IsZero() {
 		lease = min(lease, end.Add(-c.Settings.StopGrace).Sub(now))
@@ -25,6 +28,41 @@
 	return r.estimateClock(now) + lease.Milliseconds()
 }
 
+// mayExtend reports whether the lease of r may be extended as far as stored jobs are concerned. Once
+// another instance may start what runs of them, their runs have to lapse, and so must the lease after
+// ends that are not in rows: the other instance starts their tasks again, and the end of one that was
+// done is void only if the lease has lapsed since.
+func (c *Cell) mayExtend(now time.Time, r *runner) bool {
+	if now.Before(c.storedUntil) || r.lapsedFor.Equal(c.storedUntil) {
+		return true
+	}
+	if !c.loaded || ((r.hasStoredRun() || r.hasUnstoredEnd()) && !r.leasesLapsed(now, c.Settings.Lease)) {
+		return false
+	}
+	r.lapsedFor = c.storedUntil
+	return true
+}
+
+// hasStoredRun reports whether r has a run of a stored job, or one of which that is not known.
+func (r *runner) hasStoredRun() bool {
+	for _, x := range r.runs {
+		if x.task == nil || !x.task.job.Transient {
+			return true
+		}
+	}
+	return false
+}
+
+// hasUnstoredEnd reports whether r has reported an end that may have effects which are not stored.
+func (r *runner) hasUnstoredEnd() bool {
+	for _, stored := range r.unackedEnds {
+		if !stored {
+			return true
+		}
+	}
+	return r.endsTruncated
+}
+
 // earliestEnd returns the earliest time by which a run on r must have ended, zero if none must. The
 // lease of r, which applies to all runs there, must not outlast it: the stop order may be lost.
 func (c *Cell) earliestEnd(r *runner) time.Time {
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -57,6 +57,7 @@
 type job struct {
 	work.Job
 	arrived      time.Time
+	received     time.Time // when this holder got it
 	due          time.Time // when its result becomes late
 	state        work.State
 	tasks        [][]*task // by step, through all occurrences
--- a/core/cell/neighbours.go
+++ b/core/cell/neighbours.go
@@ -71,7 +71,7 @@
 // placesNow returns how many tasks of the steps of w for which waiting is true could start at once,
 // beside the tasks that wait already and can start too.
 func (c *Cell) placesNow(now time.Time, w *work.Job, waiting []bool) int {
-	if !c.mayStart(now) || c.storeDown(now) {
+	if !c.mayStart(now) || !now.Before(c.storedUntil) || c.storeDown(now) {
 		return 0
 	}
 	places, wanted := 0, 0
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -53,6 +53,7 @@
 	orphans         int       // number of runs whose resources are not known
 	unclaimed       bool      // it had runs of unknown jobs when it last replied before the rows were loaded
 	firstHold       time.Time // when the first hold was sent
+	lapsedFor       time.Time // value of Cell.storedUntil after which no lease covered a stored job or an end of one
 
 	pollTicket, probeTicket int64 // tickets of the holds in flight, with and without long poll; zero if none
 	pollSent                time.Time
--- a/core/cell/search.go
+++ b/core/cell/search.go
@@ -204,7 +204,7 @@
 // moveWaiting moves stored jobs of which nothing runs to cells that can run them: those that no runner
 // here can run, and those that wait for long while another cell has room.
 func (c *Cell) moveWaiting(now time.Time) {
-	if c.Neighbours == nil || now.Sub(c.searches.lastLook) < searchInterval || !c.mayStart(now) || c.storeDown(now) {
+	if c.Neighbours == nil || now.Sub(c.searches.lastLook) < searchInterval || !c.mayStart(now) || !now.Before(c.storedUntil) || c.storeDown(now) {
 		return
 	}
 	c.searches.lastLook = now
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -57,7 +57,7 @@
 		return
 	}
 	j := newJob(w, now.Add(-time.Duration(submission.AgeMS)*time.Millisecond))
-	j.inherited = submission.Resubmitted || hasRuns
+	j.received, j.inherited = now, submission.Resubmitted || hasRuns
 	if !c.admit(now, j, submission, reply) {
 		return
 	}
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -170,6 +170,11 @@
 
 // takeOverFrom is like takeOver from a holder whose lease ends at a time, zero if it has ended.
 func (w *world) takeOverFrom(previousEnd time.Time) *process {
+	return w.takeOverAs(cell.Term{PreviousEnd: previousEnd})
+}
+
+// takeOverAs is like takeOver for a term of which what is known of the previous holder is given.
+func (w *world) takeOverAs(t cell.Term) *process {
 	p := &process{world: w, termNumber: len(w.processes) + 1}
 	key := w.holderKey()
 	w.store.version++
@@ -178,7 +183,9 @@
 	if p.termNumber > 1 {
 		previousRunners, previousAlive = w.holder().runnerSet, w.holder().aliveAt
 	}
-	p.cell = cell.New(cell.Term{Cell: w.cellName, HolderKey: key, Epoch: w.store.version, TermNumber: p.termNumber, PreviousRunners: previousRunners, PreviousEnd: previousEnd, PreviousAlive: previousAlive}, cell.Settings{}, w.now)
+	t.Cell, t.HolderKey, t.Epoch, t.TermNumber = w.cellName, key, w.store.version, p.termNumber
+	t.PreviousRunners, t.PreviousAlive = previousRunners, previousAlive
+	p.cell = cell.New(t, cell.Settings{}, w.now)
 	p.epoch = w.store.version
 	p.cell.Orders, p.cell.Store, p.cell.Adviser = p, p, p
 	if len(w.others) > 0 {
@@ -274,7 +281,11 @@
 // is not final. If resubmitted is set, an earlier attempt may have been accepted, so that
 // a refusal is not final. An accepted job may be submitted once more later, see resubmit.
 func (w *world) submitOnce(j *work.Job, resubmitted bool, attempts int) {
-	p := w.holder()
+	w.submitTo(w.holder(), j, resubmitted, attempts)
+}
+
+// submitTo is like submitOnce for a given process.
+func (w *world) submitTo(p *process, j *work.Job, resubmitted bool, attempts int) {
 	answered := false
 	answer := func(o cell.Outcome) {
 		if answered || !w.callerWaits[j.ID] {
@@ -340,6 +351,7 @@
 	runnerSet          fingerprint.Set // as last reported by a heartbeat
 	leaseUntil         time.Time       // as last extended
 	aliveAt            time.Time       // when its last heartbeat was sent
+	promised           bool            // its standbys promise not to take over
 }
 
 // exec runs do and a pass of the cell in the goroutine of the holder. It does nothing
@@ -375,6 +387,10 @@
 	}
 	sent := p.world.now
 	p.exec(func() {
+		if p.promised {
+			p.cell.ExtendOrders(sent.Add(simHolderLease))
+			p.cell.ExtendLease(earlier(sent.Add(simHolderLease), p.aliveAt.Add(simStoredExtension)))
+		}
 		if !p.storeUnreachable && !p.world.store.down && p.world.store.values[p.world.holderKey()].Version == p.epoch {
 			p.leaseUntil, p.aliveAt = sent.Add(simHolderLease), sent
 			p.cell.ExtendLease(p.leaseUntil)
@@ -385,6 +401,17 @@
 	p.world.after(300*time.Millisecond, p.renew)
 }
 
+// simStoredExtension is the time after its last heartbeat for which a holder may run stored jobs by the
+// promises of its standbys.
+const simStoredExtension = 5500 * time.Millisecond
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // kill ends the process, which breaks its connections to callers.
 func (p *process) kill() {
 	p.killed = true
--- a/core/election/elector.go
+++ b/core/election/elector.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,6 +62,11 @@
 	// ChooseStandbys returns the nodes that may take over from a holder. If it is nil or
 	// returns none, every instance may.
 	ChooseStandbys func(holder Member) []string
+	// ChooseReserves returns the reserves of a holder. If it is nil there are none.
+	ChooseReserves func(holder Member) []string
+	// RunnersReachable reports whether this instance reaches the runners of the cell, which proves that
+	// their data centre is not cut off from it. It may be nil.
+	RunnersReachable func(ctx context.Context) bool
 	// ClaimDelay returns how long this instance waits before it claims the cell, so that
 	// instances better suited to hold it claim first. It may be nil.
 	ClaimDelay func() time.Duration
@@ -82,6 +88,7 @@
 	holderClock       clockReading
 	openClaim         *rowVersions // of a claim whose outcome is not known; nil if there is none
 	previousEnd       time.Time    // end of the lease of the holder that this instance is replacing; zero if not known
+	previousOpen      bool         // that holder may go on with jobs that need not be kept
 	transferredEnd    time.Time    // end of the leases of the holders that have written another one into the row
 	lastWritten       time.Time    // when the last heartbeat of this instance that was written was sent
 	term              Term         // of this instance, if leading
@@ -125,7 +132,10 @@
 // again after it has returned, and does not take over before it has read the rows anew.
 func (e *Elector) Run(ctx context.Context) {
 	e.mu.Lock()
-	e.loaded, e.watchHealthySince, e.lastHeartbeat = false, time.Time{}, e.Clock.Now()
+	e.loaded, e.watchHealthySince = false, time.Time{}
+	if e.lastHeartbeat.IsZero() {
+		e.lastHeartbeat = e.Clock.Now()
+	}
 	e.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, loop := range []func(context.Context){e.watchRows, e.sendHeartbeats, e.takeOver} {
@@ -226,8 +236,13 @@
 	_ = e.Log.Log("event", "holder", "node", h.Node, "life", h.Incarnation, "epoch", r.Version, "round", h.TermNumber)
 	earlierEnd := e.transferredEnd
 	if h.Previous != 0 {
-		// The lease of the previous holder is by a heartbeat, or by promises of all standbys.
-		e.transferredEnd = latest(e.transferredEnd, latest(now.Add(e.Settings.LeaseDuration), e.PromisedUntil()))
+		// The lease of the previous holder is by a heartbeat, or by promises of all standbys. Others
+		// know only for how long promises can extend its right to run stored jobs.
+		end := latest(now.Add(e.Settings.LeaseDuration), e.PromisedUntil())
+		if former := e.standbys.before(r.Version); len(former) > 0 && !slices.Contains(former, e.Self.Node) {
+			end = latest(end, now.Add(e.Settings.MaxExtension))
+		}
+		e.transferredEnd = latest(e.transferredEnd, end)
 	}
 	e.leading = h.Incarnation == e.Self.Incarnation
 	if wasLeading && previousTerm.Epoch != r.Version {
@@ -239,9 +254,9 @@
 		case h.Previous != 0:
 			end = e.transferredEnd
 		case previousRunners == 0 && earlierEnd.After(now):
-			end = earlierEnd // the previous holder may not have taken over from an earlier one
+			end = latest(end, earlierEnd) // the previous holder may not have taken over from an earlier one
 		}
-		e.term = Term{Epoch: r.Version, Number: h.TermNumber, PreviousRunners: previousRunners, PreviousEpoch: h.Previous, PreviousEnd: end}
+		e.term = Term{Epoch: r.Version, Number: h.TermNumber, PreviousRunners: previousRunners, PreviousEpoch: h.Previous, PreviousEnd: end, PreviousOpen: e.previousOpen}
 		e.lastWritten = time.Time{}
 		e.Leader.BeginTerm(e.term)
 	}
@@ -298,15 +313,19 @@
 
 // writeHolder writes the holder row and the row of its standbys, conditional on their
 // versions and on the conditions in others. It reports whether the rows were written;
-// false after an error, when the outcome is unknown. PreviousEnd is when the lease of the
-// previous holder has expired if they were; zero if that is not known.
-func (e *Elector) writeHolder(ctx context.Context, version, standbysVersion int64, h Holder, previousEnd time.Time, others ...table.Op) bool {
+// false after an error, when the outcome is unknown. Previous is what is known of the term that
+// ends if they were.
+func (e *Elector) writeHolder(ctx context.Context, version, standbysVersion int64, h Holder, previous previousTerm, others ...table.Op) bool {
 	limited, cancel := context.WithTimeout(ctx, e.Settings.StoreTimeout)
 	defer cancel()
 	standbysOp := table.Op{Key: e.key(StandbysRow), IfVersion: standbysVersion, CheckOnly: true}
 	if e.ChooseStandbys != nil {
 		if nodes := e.ChooseStandbys(h.Member); len(nodes) > 0 {
-			standbysOp.CheckOnly, standbysOp.Value = false, encode(Standbys{Nodes: nodes})
+			chosen := Standbys{Nodes: nodes}
+			if e.ChooseReserves != nil {
+				chosen.Reserves = e.ChooseReserves(h.Member)
+			}
+			standbysOp.CheckOnly, standbysOp.Value = false, encode(chosen)
 		}
 	}
 	sent := e.Clock.Now()
@@ -322,9 +341,9 @@
 		if !standbysOp.CheckOnly {
 			rows = append([]table.Row{{Key: e.key(StandbysRow), Version: written.Version, Value: standbysOp.Value}}, rows...)
 		}
-		e.setPreviousEnd(previousEnd)
+		e.setPrevious(previous)
 		e.applyRows(rows)
-		e.setPreviousEnd(time.Time{})
+		e.setPrevious(previousTerm{})
 		if h.Incarnation == e.Self.Incarnation {
 			e.mu.Lock()
 			e.lastWritten = sent
@@ -350,10 +369,17 @@
 	}
 }
 
-func (e *Elector) setPreviousEnd(t time.Time) {
+// previousTerm is what is known of the term that a claim ends. The zero value stands for one of which
+// nothing is known.
+type previousTerm struct {
+	end  time.Time // when its lease has expired; zero if that is not known
+	open bool      // the holder may go on with jobs that need not be kept
+}
+
+func (e *Elector) setPrevious(p previousTerm) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.previousEnd = t
+	e.previousEnd, e.previousOpen = p.end, p.open
 }
 
 // Transfer transfers the cell to another member. It reports whether this instance is no
@@ -366,7 +392,7 @@
 		return true
 	}
 	_ = e.Log.Log("event", "resign", "to", to.Node, "epoch", term.Epoch)
-	if e.writeHolder(ctx, term.Epoch, standbysVersion, Holder{Member: to, TermNumber: term.Number + 1, Previous: term.Epoch}, time.Time{}) {
+	if e.writeHolder(ctx, term.Epoch, standbysVersion, Holder{Member: to, TermNumber: term.Number + 1, Previous: term.Epoch}, previousTerm{}) {
 		return true
 	}
 	e.mu.Lock()
--- a/core/election/elector_test.go
+++ b/core/election/elector_test.go
@@ -246,6 +246,8 @@
 	unanswered bool                         // no holder answers hello messages
 	refusing   map[string]bool              // addresses that refuse connections
 	standbys   func(holder string) []string // returns the standbys of a holder; nil if every member is one
+	reserves   func(holder string) []string // returns the reserves of a holder; nil if there are none
+	evidence   func(context.Context) bool   // reports whether a member reaches the runners of the cell
 	running    sync.WaitGroup
 }
 
@@ -305,6 +307,10 @@
 	if c.standbys != nil {
 		e.ChooseStandbys = func(holder election.Member) []string { return c.standbys(holder.Node) }
 	}
+	if c.reserves != nil {
+		e.ChooseReserves = func(holder election.Member) []string { return c.reserves(holder.Node) }
+		e.RunnersReachable = c.evidence
+	}
 	if c.unanswered {
 		e.HolderReachable = func() bool { return false }
 	}
--- a/core/election/member.go
+++ b/core/election/member.go
@@ -56,6 +56,9 @@
 	// PreviousEnd is when the lease of the previous holder will certainly have expired; zero if
 	// it has by now. A holder that has handed the cell over may not know it and go on.
 	PreviousEnd time.Time
+	// PreviousOpen means that the previous holder may be alive and go on with jobs that need not be
+	// kept, on runners that this one has not reached, beyond PreviousEnd.
+	PreviousOpen bool
 	// PreviousAlive is a time at which the previous holder was certainly alive; zero if none is
 	// known.
 	PreviousAlive time.Time
--- a/core/election/notice.go
+++ b/core/election/notice.go
@@ -13,11 +13,12 @@
 	Holder   Holder   `json:"holder"`
 	Epoch    int64    `json:"epoch"` // version of the holder row
 	Standbys []string `json:"standbys,omitempty"`
+	Reserves []string `json:"reserves,omitempty"`
 }
 
-// Names reports whether n names node as the holder or as a standby.
+// Names reports whether n names node as the holder, a standby or a reserve.
 func (n Notice) Names(node string) bool {
-	return n.Holder.Node == node || slices.Contains(n.Standbys, node)
+	return n.Holder.Node == node || slices.Contains(n.Standbys, node) || slices.Contains(n.Reserves, node)
 }
 
 // Notice returns the notice of the current holder, as far as it is known.
@@ -26,7 +27,7 @@
 	defer e.mu.Unlock()
 	n := Notice{Holder: e.holder, Epoch: e.holderVersion}
 	if e.standbys.version >= e.holderVersion {
-		n.Standbys = e.standbys.nodes
+		n.Standbys, n.Reserves = e.standbys.Nodes, e.standbys.Reserves
 	}
 	return n
 }
@@ -38,7 +39,7 @@
 	defer e.mu.Unlock()
 	if n.Epoch > e.holderVersion {
 		if len(n.Standbys) > 0 {
-			e.standbys.apply(table.Row{Version: n.Epoch, Value: encode(Standbys{Nodes: n.Standbys})})
+			e.standbys.apply(table.Row{Version: n.Epoch, Value: encode(Standbys{Nodes: n.Standbys, Reserves: n.Reserves})})
 		}
 		e.applyHolder(now, table.Row{Key: e.key(HolderRow), Version: n.Epoch, Value: encode(n.Holder)})
 	}
--- a/core/election/settings.go
+++ b/core/election/settings.go
@@ -12,8 +12,12 @@
 	DefaultStoreTimeout      = 700 * time.Millisecond
 	DefaultWatchWait         = time.Second
 	DefaultProbeInterval     = 100 * time.Millisecond
-	DefaultMaxExtension      = 20 * time.Second
-	DefaultOutsiderTimeout   = 22 * time.Second
+	DefaultStoredExtension   = 5500 * time.Millisecond
+	DefaultMaxExtension      = 11 * time.Second
+	DefaultReserveTimeout    = 2500 * time.Millisecond
+	DefaultBlindTimeout      = 7 * time.Second
+	DefaultOutsiderTimeout   = 12 * time.Second
+	evidenceInterval         = 250 * time.Millisecond // between looks of a reserve for evidence
 	takeoverCheckInterval    = 25 * time.Millisecond  // between checks whether to take over
 	reachableCheckInterval   = 100 * time.Millisecond // the same while the holder answers
 	maxClaimJitter           = 60 * time.Millisecond  // upper bound of the random delay before a claim
@@ -31,8 +35,11 @@
 	WatchWait         time.Duration // for which the store waits for a change
 	ProbeInterval     time.Duration // between connection probes of the holder's address
 	PollInterval      time.Duration // between polls of the rows while the holder is reachable; zero means no pause
-	MaxExtension      time.Duration // for which promises can extend a lease after the last heartbeat was written
-	OutsiderTimeout   time.Duration // without heartbeat until takeover by an instance that is no standby; greater than MaxExtension
+	StoredExtension   time.Duration // for which a holder may run stored jobs after its last heartbeat was written, if no standby can take over
+	MaxExtension      time.Duration // for which it may at most, as long as the reserves promise not to take over either
+	ReserveTimeout    time.Duration // without heartbeat until takeover by a reserve that reaches the runners of the cell; greater than SilentTimeout
+	BlindTimeout      time.Duration // without heartbeat until takeover by any reserve; greater than StoredExtension and the lease of runners
+	OutsiderTimeout   time.Duration // without heartbeat until takeover by any instance; greater than MaxExtension
 }
 
 // withDefaults returns s with the defaults in place of zero values.
@@ -50,7 +57,10 @@
 	setDefault(&s.StoreTimeout, DefaultStoreTimeout)
 	setDefault(&s.WatchWait, DefaultWatchWait)
 	setDefault(&s.ProbeInterval, DefaultProbeInterval)
+	setDefault(&s.StoredExtension, DefaultStoredExtension)
 	setDefault(&s.MaxExtension, DefaultMaxExtension)
+	setDefault(&s.ReserveTimeout, DefaultReserveTimeout)
+	setDefault(&s.BlindTimeout, DefaultBlindTimeout)
 	setDefault(&s.OutsiderTimeout, DefaultOutsiderTimeout)
 	return s
 }
--- a/core/election/standbys.go
+++ b/core/election/standbys.go
@@ -12,15 +12,34 @@
 // Standbys is the value of the row that names the nodes which may take over from the
 // holder, besides the node of the holder itself. The row counts only if it was written with
 // or after the holder row; otherwise every instance may take over.
+//
+// Reserves are in other data centres than the holder and its standbys. They take over when all of those
+// seem to be lost. Since they may only be cut off, a holder goes on without the promises of reserves,
+// for jobs that need not be kept, and for a time in which no reserve starts what it may have started.
 type Standbys struct {
-	Nodes []string `json:"nodes"`
+	Nodes    []string `json:"nodes"`
+	Reserves []string `json:"reserves,omitempty"`
+}
+
+// join returns the nodes and reserves of both.
+func (s Standbys) join(other Standbys) Standbys {
+	return Standbys{Nodes: slices.Concat(s.Nodes, other.Nodes), Reserves: slices.Concat(s.Reserves, other.Reserves)}
 }
 
 // standbys is what an Elector knows of the row of standbys.
 type standbys struct {
-	nodes   []string
+	Standbys
 	version int64
-	pending []string // nodes in writes whose outcome is not known
+	pending Standbys // in writes whose outcome is not known
+	former  []string // nodes before the last change
+}
+
+// before returns the nodes as they were before the version given was written.
+func (s *standbys) before(version int64) []string {
+	if s.version >= version {
+		return s.former
+	}
+	return s.Nodes
 }
 
 // apply applies the row, unless it is older than what is known. A value that cannot be
@@ -31,33 +50,51 @@
 	}
 	var v Standbys
 	_ = json.Unmarshal(r.Value, &v)
-	s.nodes, s.version, s.pending = v.Nodes, r.Version, nil
+	s.former = s.Nodes
+	s.Standbys, s.version, s.pending = v, r.Version, Standbys{}
 }
 
 // isStandby reports whether this instance may take over as soon as the holder is silent.
 // The caller holds the lock.
 func (e *Elector) isStandby() bool {
-	return e.standbys.version < e.holderVersion || e.holder.Node == e.Self.Node || slices.Contains(e.standbys.nodes, e.Self.Node)
+	return e.standbys.version < e.holderVersion || e.holder.Node == e.Self.Node || slices.Contains(e.standbys.Nodes, e.Self.Node)
+}
+
+// isReserve reports whether this instance is a reserve. The caller holds the lock.
+func (e *Elector) isReserve() bool {
+	return !e.isStandby() && slices.Contains(e.standbys.Reserves, e.Self.Node)
 }
 
-// Standbys returns the nodes that may take over from the holder before OutsiderTimeout,
+// Standbys returns the nodes that may take over from the holder as soon as it is silent,
 // besides the node of the holder. Known is false if every instance may.
 func (e *Elector) Standbys() (nodes []string, known bool) {
+	s, known := e.allStandbys()
+	return s.Nodes, known
+}
+
+// Reserves returns the reserves of the holder.
+func (e *Elector) Reserves() []string {
+	s, _ := e.allStandbys()
+	return s.Reserves
+}
+
+// allStandbys returns the standbys and reserves, those in writes whose outcome is not known included.
+func (e *Elector) allStandbys() (s Standbys, known bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.holderVersion == 0 || e.standbys.version < e.holderVersion {
-		return nil, false
+		return Standbys{}, false
 	}
-	return slices.Concat(e.standbys.nodes, e.standbys.pending), true
+	return e.standbys.join(e.standbys.pending), true
 }
 
 // SetStandbys replaces the standbys of this instance, which must be the holder. It reports
 // whether they were written. Until that is known the former and the new ones count.
-func (e *Elector) SetStandbys(ctx context.Context, nodes []string) bool {
+func (e *Elector) SetStandbys(ctx context.Context, s Standbys) bool {
 	e.mu.Lock()
 	leading, term, version := e.leading, e.term, e.standbys.version
 	if leading {
-		e.standbys.pending = append(e.standbys.pending, nodes...)
+		e.standbys.pending = e.standbys.pending.join(s)
 	}
 	e.mu.Unlock()
 	if !leading {
@@ -65,12 +102,12 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, e.Settings.StoreTimeout)
 	defer cancel()
-	value := encode(Standbys{Nodes: nodes})
+	value := encode(s)
 	written, err := e.Store.Write(limited, table.Write{Ops: []table.Op{
 		{Key: e.key(HolderRow), IfVersion: term.Epoch, CheckOnly: true},
 		{Key: e.key(StandbysRow), IfVersion: version, Value: value},
 	}})
-	_ = e.Log.Log("event", "standbys", "nodes", len(nodes), "written", written.Committed, "err", err)
+	_ = e.Log.Log("event", "standbys", "nodes", len(s.Nodes), "reserves", len(s.Reserves), "written", written.Committed, "err", err)
 	switch {
 	case err != nil:
 		return false
@@ -133,16 +170,24 @@
 	return by
 }
 
-// ExtensionLimit returns the time beyond which promises must not extend the lease of this
-// instance, since an instance that is no standby may then take over. It is zero if no
+// ExtensionLimit returns the time beyond which promises must not extend the right of this
+// instance to run stored jobs, since any instance may then take over. It is zero if no
 // heartbeat was written in this term.
-func (e *Elector) ExtensionLimit() time.Time {
+func (e *Elector) ExtensionLimit() time.Time { return e.afterLastWritten(e.Settings.MaxExtension) }
+
+// StoredLimit returns the time until which this instance may run stored jobs without the promises of its
+// reserves. It is zero if no heartbeat was written in this term.
+func (e *Elector) StoredLimit() time.Time { return e.afterLastWritten(e.Settings.StoredExtension) }
+
+// afterLastWritten returns the time d after the last heartbeat of this instance that was written was
+// sent; zero if none was in this term.
+func (e *Elector) afterLastWritten(d time.Duration) time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.lastWritten.IsZero() {
 		return time.Time{}
 	}
-	return e.lastWritten.Add(e.Settings.MaxExtension)
+	return e.lastWritten.Add(d)
 }
 
 // Released records that the holder of an epoch, possibly this instance, has ended its term
--- a/core/election/standbys_test.go
+++ b/core/election/standbys_test.go
@@ -117,16 +117,16 @@
 		m := c.holder(t)
 		former := nextTwo(m.name)
 		c.setUnreachable(m.name, true)
-		require.False(t, m.elector.SetStandbys(t.Context(), []string{"x", "y"}))
+		require.False(t, m.elector.SetStandbys(t.Context(), election.Standbys{Nodes: []string{"x", "y"}}))
 		standbys, _ := m.elector.Standbys()
 		require.Equal(t, append(former, "x", "y"), standbys)
 		c.setUnreachable(m.name, false)
-		require.True(t, m.elector.SetStandbys(t.Context(), []string{"x"}))
+		require.True(t, m.elector.SetStandbys(t.Context(), election.Standbys{Nodes: []string{"x"}}))
 		standbys, _ = m.elector.Standbys()
 		require.Equal(t, []string{"x"}, standbys)
 		for name, other := range c.members {
 			if name != m.name {
-				require.False(t, other.elector.SetStandbys(t.Context(), []string{name}), "only the holder may")
+				require.False(t, other.elector.SetStandbys(t.Context(), election.Standbys{Nodes: []string{name}}), "only the holder may")
 			}
 		}
 	})
@@ -150,7 +150,7 @@
 		}
 		seen := row(election.StandbysRow)
 		require.Equal(t, epoch, seen, "written with the claim")
-		require.True(t, m.elector.SetStandbys(t.Context(), []string{"e"}))
+		require.True(t, m.elector.SetStandbys(t.Context(), election.Standbys{Nodes: []string{"e"}}))
 		written, err := reader.Write(context.Background(), table.Write{Ops: []table.Op{
 			{Key: election.Key("c0", election.HolderRow), IfVersion: epoch, Value: json.RawMessage(`{}`)},
 			{Key: election.Key("c0", election.StandbysRow), IfVersion: seen, CheckOnly: true},
--- a/core/election/takeover.go
+++ b/core/election/takeover.go
@@ -13,6 +13,7 @@
 // incarnation of this instance, or the holder has failed.
 func (e *Elector) takeOver(ctx context.Context) {
 	var p prober
+	var evidence time.Time // when this instance last looked for it, as a reserve
 	for ctx.Err() == nil {
 		e.awaitCheck(ctx)
 		s, ok := e.situation()
@@ -25,12 +26,25 @@
 			// its lease has expired.
 			reason = "no heartbeat and connections to the holder are refused"
 		}
+		if reason == "" && e.mayLookForEvidence(s) && s.now.Sub(evidence) >= evidenceInterval {
+			evidence = s.now
+			if e.RunnersReachable(ctx) {
+				reason = "no heartbeat, and the runners are reachable"
+			}
+		}
 		if reason != "" && e.awaitClaimTurn(ctx, s.seen) && e.beginClaim(s.seen) {
-			e.claim(ctx, s.seen, s.holder.TermNumber+1, s.previousEnd(e.Settings.LeaseDuration), reason)
+			e.claim(ctx, s.seen, s.holder.TermNumber+1, e.previousTerm(s), reason)
 		}
 	}
 }
 
+// mayLookForEvidence reports whether this instance takes over if it reaches the runners of the cell: it
+// is a reserve, the holder and all standbys have had their time, and it has not promised to wait.
+func (e *Elector) mayLookForEvidence(s situation) bool {
+	return s.reserve && e.RunnersReachable != nil && s.healthy && !e.reachesHolder() &&
+		s.now.Sub(s.lastHeartbeat) > e.Settings.ReserveTimeout && s.now.After(s.promisedUntil)
+}
+
 // awaitCheck waits until it is to be checked whether to take over: at once when the holder has
 // ended its term by itself.
 func (e *Elector) awaitCheck(ctx context.Context) {
@@ -54,6 +68,8 @@
 	holder        Holder
 	seen          rowVersions
 	standby       bool
+	reserve       bool
+	healthy       bool // the store was readable for SilentTimeout
 	released      bool // the holder has ended its term by itself
 	silent        bool // no heartbeat for long
 	lastHeartbeat time.Time
@@ -71,8 +87,9 @@
 	// A term of this instance that has failed leaves the cell to others for a while.
 	over := e.leading && e.releasedEpoch == e.holderVersion && now.Sub(e.releasedAt) > e.Settings.SilentTimeout
 	return situation{
-		now: now, self: e.Self, holder: e.holder, seen: e.versions(), standby: standby, released: e.releasedEpoch == e.holderVersion,
-		silent: e.holderSilent(now, standby), lastHeartbeat: e.lastHeartbeat, promisedUntil: promisedUntil,
+		now: now, self: e.Self, holder: e.holder, seen: e.versions(), standby: standby, reserve: e.isReserve(), released: e.releasedEpoch == e.holderVersion,
+		healthy: !e.watchHealthySince.IsZero() && now.Sub(e.watchHealthySince) > e.Settings.SilentTimeout,
+		silent:  e.holderSilent(now, standby), lastHeartbeat: e.lastHeartbeat, promisedUntil: promisedUntil,
 	}, e.loaded && (!e.leading || over) && !e.retired
 }
 
@@ -92,18 +109,24 @@
 	return ""
 }
 
-// previousEnd returns when the lease of the holder has expired, provided that no heartbeat
-// was written since the last one seen; zero if there is no holder. A claim comes after that,
-// or after the end of the holder.
-func (s situation) previousEnd(lease time.Duration) time.Time {
-	if s.seen.holder == 0 {
-		return time.Time{}
-	}
-	end := latest(s.lastHeartbeat.Add(lease), s.promisedUntil)
-	if end.After(s.now) {
-		return s.now
+// previousTerm returns what is known of the term that a claim in situation s ends, provided that no
+// heartbeat was written since the last one seen. A standby claims after the end of the lease, or of the
+// holder. Any other instance does not know whether the standbys extend the lease: only the time until
+// which the holder may run stored jobs is known, by the last heartbeat and the promise of this instance.
+func (e *Elector) previousTerm(s situation) previousTerm {
+	switch {
+	case s.seen.holder == 0:
+		return previousTerm{}
+	case s.standby || s.holder.Node == s.self.Node:
+		end := latest(s.lastHeartbeat.Add(e.Settings.LeaseDuration), s.promisedUntil)
+		if end.After(s.now) {
+			end = s.now
+		}
+		return previousTerm{end: end}
+	case s.reserve:
+		return previousTerm{end: latest(s.lastHeartbeat.Add(e.Settings.StoredExtension), s.promisedUntil), open: true}
 	}
-	return end
+	return previousTerm{end: s.lastHeartbeat.Add(e.Settings.MaxExtension), open: true}
 }
 
 // prober probes the address of the holder.
@@ -145,8 +168,8 @@
 
 // holderSilent reports whether no heartbeat has been seen for longer than SilentTimeout, or
 // CutTimeout if the holder does not answer hello messages, while the store was readable for
-// as long. For an instance that is no standby it takes OutsiderTimeout. The caller holds
-// the lock.
+// as long. For a reserve it takes BlindTimeout, for any other instance OutsiderTimeout. The
+// caller holds the lock.
 func (e *Elector) holderSilent(now time.Time, standby bool) bool {
 	timeout := e.Settings.OutsiderTimeout
 	switch {
@@ -154,6 +177,8 @@
 		timeout = e.Settings.CutTimeout
 	case standby:
 		timeout = e.Settings.SilentTimeout
+	case e.isReserve():
+		timeout = e.Settings.BlindTimeout
 	}
 	return !e.watchHealthySince.IsZero() && now.Sub(e.lastHeartbeat) > timeout && now.Sub(e.watchHealthySince) > min(timeout, e.Settings.SilentTimeout)
 }
@@ -188,8 +213,8 @@
 
 // claim writes this instance into the holder row, provided that none of the rows has
 // changed since the decision.
-func (e *Elector) claim(ctx context.Context, seen rowVersions, termNumber int, previousEnd time.Time, reason string) {
+func (e *Elector) claim(ctx context.Context, seen rowVersions, termNumber int, previous previousTerm, reason string) {
 	_ = e.Log.Log("event", "claim", "why", reason, "version", seen.holder, "round", termNumber)
-	e.writeHolder(ctx, seen.holder, seen.standbys, Holder{Member: e.Self, TermNumber: termNumber}, previousEnd,
+	e.writeHolder(ctx, seen.holder, seen.standbys, Holder{Member: e.Self, TermNumber: termNumber}, previous,
 		table.Op{Key: e.key(HeartbeatRow), IfVersion: seen.heartbeat, CheckOnly: true})
 }
--- a/core/eventloop/loop.go
+++ b/core/eventloop/loop.go
@@ -94,7 +94,7 @@
 		Term: t, Runners: r, Store: st, Clock: clock,
 		messages: make(chan cell.Message, messageQueueSize), done: make(chan struct{}), overload: overload.Detector{StartedAt: clock.Now()},
 	}
-	l.cell = cell.New(cell.Term{Cell: name, HolderKey: election.Key(name, election.HolderRow), Epoch: t.Epoch, TermNumber: t.Number, PreviousRunners: t.PreviousRunners, PreviousEnd: t.PreviousEnd, PreviousAlive: t.PreviousAlive}, s, clock.Now())
+	l.cell = cell.New(cell.Term{Cell: name, HolderKey: election.Key(name, election.HolderRow), Epoch: t.Epoch, TermNumber: t.Number, PreviousRunners: t.PreviousRunners, PreviousEnd: t.PreviousEnd, PreviousOpen: t.PreviousOpen, PreviousAlive: t.PreviousAlive}, s, clock.Now())
 	l.cell.Log, l.cell.Metrics = logger, metrics
 	l.cell.Orders, l.cell.Store = orderSender{l}, writeSender{l}
 	l.cell.WallClock = (&wallclock.Clock{Monotonic: clock.Now, Wall: time.Now}).Now
@@ -283,6 +283,14 @@
 // until.
 func (l *Loop) Renew(until time.Time) { l.Post(renewMessage{until}) }
 
+// RenewOrders extends the lease of the cell for jobs that need not be kept: until then no instance can
+// become the holder that relies on these to have ended.
+func (l *Loop) RenewOrders(until time.Time) { l.Post(renewOrdersMessage{until}) }
+
+type renewOrdersMessage struct{ until time.Time }
+
+func (m renewOrdersMessage) Apply(c *cell.Cell, _ time.Time) { c.ExtendOrders(m.until) }
+
 type renewMessage struct{ until time.Time }
 
 func (m renewMessage) Apply(c *cell.Cell, _ time.Time) { c.ExtendLease(m.until) }
--- a/core/promise/received.go
+++ b/core/promise/received.go
@@ -75,6 +75,26 @@
 	return until, ok && until.After(now)
 }
 
+// StoredUntil returns the time until which the holder may run stored jobs, given that no standby takes
+// over before until: at least until alone, when no reserve starts what may still run, and at most until
+// most, when any instance may take over. Between the two it depends on the promises of all reserves; a
+// holder without reserves has the promises of all that could take over before.
+func (r *Received) StoredUntil(until time.Time, reserves []string, alone, most time.Time) time.Time {
+	for _, node := range reserves {
+		end := r.peers[node].until
+		if end.Before(alone) {
+			end = alone
+		}
+		if end.Before(most) {
+			most = end
+		}
+	}
+	if most.Before(until) {
+		return most
+	}
+	return until
+}
+
 // Heard reports whether a hello message of a node was received within the given time.
 func (r *Received) Heard(now time.Time, node string, within time.Duration) bool {
 	e, ok := r.peers[node]
--- a/core/proxy/hello.go
+++ b/core/proxy/hello.go
@@ -14,7 +14,8 @@
 // handleHello records the hello message of a peer and returns the reply.
 func (p *Proxy) handleHello(_ context.Context, hello promise.Hello) (promise.HelloReply, error) {
 	standbys, known := p.Elector.Standbys()
-	limit := p.Elector.ExtensionLimit()
+	reserves := p.Elector.Reserves()
+	limit, storedLimit := p.Elector.ExtensionLimit(), p.Elector.StoredLimit()
 	heartbeat, version, age := p.Elector.LastHeartbeat()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -24,10 +25,10 @@
 		return promise.HelloReply{Incarnation: p.Self.Incarnation}, nil
 	}
 	if until, ok := p.received.Until(now, standbys, known); ok {
-		if limit.Before(until) {
-			until = limit
+		if known {
+			p.loop.RenewOrders(until)
 		}
-		p.loop.Renew(until)
+		p.loop.Renew(p.received.StoredUntil(until, reserves, storedLimit, limit))
 	}
 	return promise.HelloReply{
 		Leading: true, Incarnation: p.Self.Incarnation, Timestamp: now.UnixNano(), HeartbeatAge: span.Of(age),
@@ -107,18 +108,24 @@
 	}
 }
 
-// LeavingStandbys returns the standbys of this instance that shut down.
-func (p *Proxy) LeavingStandbys() []string {
+// standbysAndReserves returns the nodes that may take over from this instance.
+func (p *Proxy) standbysAndReserves() []string {
 	standbys, _ := p.Elector.Standbys()
+	return append(standbys, p.Elector.Reserves()...)
+}
+
+// LeavingStandbys returns the standbys and reserves of this instance that shut down.
+func (p *Proxy) LeavingStandbys() []string {
+	standbys := p.standbysAndReserves()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return slices.DeleteFunc(slices.Clone(standbys), func(node string) bool { return !p.received.Leaving(node) })
 }
 
-// SilentStandbys returns the standbys of this instance from which no hello message was
+// SilentStandbys returns the standbys and reserves of this instance from which no hello message was
 // received within the given time.
 func (p *Proxy) SilentStandbys(within time.Duration) []string {
-	standbys, _ := p.Elector.Standbys()
+	standbys := p.standbysAndReserves()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
--- a/core/standby/choose.go
+++ b/core/standby/choose.go
@@ -54,6 +54,20 @@
 	return Choose(cell, holder, members, usable)
 }
 
+// ReserveCount is the number of reserves of a cell.
+const ReserveCount = 2
+
+// Reserves returns up to ReserveCount nodes in other zones than that of a cell which is held in its
+// zone, as by Choose; they take over if the whole zone is lost. Any other cell has none, since its
+// standbys are in several zones.
+func Reserves(cell, zone string, holder election.Member, members []election.Member, usable func(m election.Member) bool) []string {
+	if zone == "" || holder.Zone != zone {
+		return nil
+	}
+	chosen := Choose(cell, holder, members, func(m election.Member) bool { return m.Zone != zone && usable(m) })
+	return chosen[:min(len(chosen), ReserveCount)]
+}
+
 // Improves reports whether chosen are to replace the current standbys of a cell with
 // runners in a zone: some of them are silent, there are more of them, or, for a cell held in
 // its zone, they are there and some of the current ones are not.
--- a/core/standby/choose_test.go
+++ b/core/standby/choose_test.go
@@ -141,3 +141,22 @@
 		require.Equal(t, test.want, standby.Improves(test.chosen, test.current, test.silent, "a", members), test.name)
 	}
 }
+
+// TestReserves checks that only a cell that is held in its zone has reserves, all of them elsewhere.
+func TestReserves(t *testing.T) {
+	t.Parallel()
+	members := newMembers(3)
+	chosen := standby.Reserves("c", "a", members[0], members, all)
+	require.Len(t, chosen, standby.ReserveCount)
+	zones := map[string]bool{}
+	for _, m := range members {
+		if slices.Contains(chosen, m.Node) {
+			require.NotEqual(t, "a", m.Zone)
+			zones[m.Zone] = true
+		}
+	}
+	require.Len(t, zones, standby.ReserveCount, "a zone that is lost leaves one")
+	require.Empty(t, standby.Reserves("c", "b", members[0], members, all))
+	require.Empty(t, standby.Reserves("c", "", members[0], members, all))
+	require.Empty(t, standby.Reserves("c", "a", members[0], members[:3], all))
+}
--- a/gypsumward/hosted/participant.go
+++ b/gypsumward/hosted/participant.go
@@ -30,6 +30,7 @@
 
 	stop     context.CancelFunc // ends the competition; nil while this instance takes no part in it
 	running  sync.WaitGroup
+	probeAt  time.Time   // time of the next probe of a holder that answers
 	lookupAt time.Time   // earliest time of the next look at the rows of a cell whose holder does not answer
 	probing  atomic.Bool // a probe of the holder is in flight
 	changing atomic.Bool // standbys are being replaced or the cell is being handed over
@@ -69,7 +70,8 @@
 	p.elector.Self, p.elector.Store, p.elector.Clock = h.self, h.store, h.clock
 	p.elector.Leader, p.elector.Log, p.elector.ConnectionRefused = p.proxy, p.log, refusesConn
 	p.elector.PromisedUntil, p.elector.ClaimDelay, p.elector.HolderReachable = p.proxy.PromisedUntil, h.claimDelay, p.proxy.HolderReachable
-	p.elector.ChooseStandbys = p.chooseStandbys
+	p.elector.ChooseStandbys, p.elector.ChooseReserves = p.chooseStandbys, p.chooseReserves
+	p.elector.RunnersReachable = p.runnersReachable
 	return p
 }
 
--- a/gypsumward/hosted/standby.go
+++ b/gypsumward/hosted/standby.go
@@ -15,9 +15,11 @@
 // Intervals and timeouts of the parts that an instance takes in cells.
 const (
 	superviseInterval = 250 * time.Millisecond
-	noStandbysTimeout = 2 * time.Second        // age of a holder without standbys from which on every instance competes
-	outsiderTimeout   = 6 * time.Second        // without an answer of the holder until an instance that is no standby competes
-	outsiderSpread    = 4 * time.Second        // over which such instances begin
+	noStandbysTimeout = 2 * time.Second // age of a holder without standbys from which on every instance competes
+	outsiderTimeout   = 2 * time.Second // without an answer of the holder until an instance that is no standby competes
+	outsiderSpread    = 2 * time.Second // over which such instances begin
+	idleProbe         = 2 * time.Second // between probes of the holder of a cell by an instance outside it, for up to cellsPerProbe cells
+	cellsPerProbe     = 4
 	lookupAfter       = 300 * time.Millisecond // without an answer of the holder until its rows are read
 	lookupInterval    = time.Second
 	standbyTimeout    = 2500 * time.Millisecond // without a hello message until a standby is replaced
@@ -174,6 +176,9 @@
 	if standbys, known := p.elector.Standbys(); known && slices.Contains(standbys, p.host.self.Node) {
 		return true
 	}
+	if slices.Contains(p.elector.Reserves(), p.host.self.Node) {
+		return true
+	}
 	failing := p.proxy.FailingSince()
 	spread := time.Duration(float64(outsiderSpread) * standby.Uniform(p.name, p.host.self.Node))
 	if n.Epoch == version && len(n.Standbys) == 0 {
@@ -183,13 +188,15 @@
 }
 
 // followUnreachable calls a holder again that did not answer the last call, and reads the
-// rows of the cell, since a notice may be missing.
+// rows of the cell, since a notice may be missing. A holder that nobody calls is probed now and then.
 func (p *participant) followUnreachable(ctx context.Context, now time.Time) {
 	failing := p.proxy.FailingSince()
-	if failing.IsZero() || !p.probing.CompareAndSwap(false, true) {
+	if (failing.IsZero() && now.Before(p.probeAt)) || !p.probing.CompareAndSwap(false, true) {
 		return
 	}
-	lookup := now.Sub(failing) > lookupAfter && !now.Before(p.lookupAt)
+	cells := len(p.host.participants())
+	p.probeAt = now.Add(idleProbe * time.Duration(max(cells, cellsPerProbe)) / cellsPerProbe)
+	lookup := !failing.IsZero() && now.Sub(failing) > lookupAfter && !now.Before(p.lookupAt)
 	if lookup {
 		p.lookupAt = now.Add(lookupInterval)
 	}
@@ -206,13 +213,22 @@
 
 // chooseStandbys returns the standbys for the cell under a holder.
 func (p *participant) chooseStandbys(holder election.Member) []string {
-	now := p.host.clock.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return standby.ForCell(p.name, p.cell.Zone, holder, p.host.roster.Members(), func(m election.Member) bool {
+	return standby.ForCell(p.name, p.cell.Zone, holder, p.host.roster.Members(), p.isPresent(p.host.clock.Now()))
+}
+
+// chooseReserves returns the reserves for the cell under a holder.
+func (p *participant) chooseReserves(holder election.Member) []string {
+	return standby.Reserves(p.name, p.cell.Zone, holder, p.host.roster.Members(), p.isPresent(p.host.clock.Now()))
+}
+
+// isPresent returns a function that reports whether a member is not passed over at now.
+func (p *participant) isPresent(now time.Time) func(m election.Member) bool {
+	return func(m election.Member) bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
 		a, found := p.absent[m.Node]
 		return !found || a.incarnation != m.Incarnation || !now.Before(a.until)
-	})
+	}
 }
 
 // absentee is a standby that has sent no hello message. Its next incarnation may.
@@ -262,10 +278,19 @@
 	if known && len(gone) == 0 && !p.settled(now) {
 		return
 	}
-	chosen := p.chooseStandbys(p.host.self)
-	if len(chosen) == 0 || (known && !standby.Improves(chosen, current, len(gone) > 0, p.cell.Zone, p.host.roster.Members())) {
+	chosen := election.Standbys{Nodes: p.chooseStandbys(p.host.self), Reserves: p.chooseReserves(p.host.self)}
+	if len(chosen.Nodes) == 0 {
+		return
+	}
+	members := p.host.roster.Members()
+	improves := !known || standby.Improves(chosen.Nodes, current, slices.ContainsFunc(current, isIn(gone)), p.cell.Zone, members)
+	reserves := p.elector.Reserves()
+	if !improves && !standby.Improves(chosen.Reserves, reserves, slices.ContainsFunc(reserves, isIn(gone)), "", members) {
 		return
 	}
+	if !improves {
+		chosen.Nodes = current
+	}
 	p.changing.Store(true)
 	go func() {
 		defer p.changing.Store(false)
@@ -278,6 +303,11 @@
 	}()
 }
 
+// isIn returns a function that reports whether nodes contain a node.
+func isIn(nodes []string) func(string) bool {
+	return func(node string) bool { return slices.Contains(nodes, node) }
+}
+
 // publishTimeout is the time after which a notice that could not be published is made anew.
 const publishTimeout = 20 * time.Second
 
