--- a/core/cell/move_test.go
+++ b/core/cell/move_test.go
@@ -294,3 +294,20 @@
 		w.after(2*time.Second, func() { w.store.down = false })
 	}},
 }
+
+// TestLastingInTwoCells guards against a lasting task that never runs, since its job stays in a cell
+// where other tasks of it run and no runner can run this one.
+func TestLastingInTwoCells(t *testing.T) {
+	t.Parallel()
+	l := newCells(1, 2, 2)
+	here, there := labelled("c0", 1), labelled("c1", 1)
+	here.LongRunning, there.LongRunning = true, true
+	l[0].submit(newJob(1, false, here, there))
+	l.run(9 * time.Second)
+	running := 0
+	for _, r := range l[0].allRunners() {
+		running += len(r.runs)
+	}
+	require.Equal(t, 2, running)
+	require.Empty(t, l.violations())
+}
--- a/core/election/reserve_test.go
+++ b/core/election/reserve_test.go
@@ -162,3 +162,21 @@
 		require.True(t, time.Now().After(limit))
 	})
 }
+
+// TestHolderStandbysAndReservesLost guards against a cell without holder for long after all instances
+// that its rows name are lost at once.
+func TestHolderStandbysAndReservesLost(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		var reachable atomic.Bool
+		reachable.Store(true)
+		c := newReserveCluster(t, &reachable)
+		m := c.holder(t)
+		began := time.Now()
+		c.lose(append([]string{m.name, c.standbys(m.name)[0]}, c.reserves(m.name)...)...)
+		for len(c.leading()) == 0 && time.Since(began) < time.Minute {
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.Less(t, time.Since(began), latestTakeover)
+	})
+}
