cell: a submission waits for other cells only if they are asked

Callers would have seen: a stored job that its cell cannot run, handed in while eight questions to other cells were in flight and old answers to the same question were still kept, got no answer; it stayed in the cell, and the same job handed in again waited too.

Cause: whether the job waits was told by the existence of a search, not by one that is in flight. Now one function returns the search, or none if too many are in flight, and the job is refused at once. It also encodes the question once instead of twice.

TestTooManySearches failed before.

--- a/core/cell/search.go
+++ b/core/cell/search.go
@@ -50,32 +50,25 @@
 	return q
 }
 
-// answers returns the answers of the other cells to q, asking them unless recent ones are known.
-// Known is false while they are on their way, or if too many questions are; j, if not nil, is
-// considered again once they are there.
-func (c *Cell) answers(now time.Time, q Query, j *job) (list []Answer, known bool) {
+// search returns the search for q, which it begins unless recent answers are known or it is in flight;
+// nil if too many others are.
+func (c *Cell) search(now time.Time, q Query) *search {
 	key := string(encode(&q))
-	s := c.searches.byQuery[key]
-	if s != nil && !s.inFlight && now.Sub(s.answered) < answersValidity {
-		return s.answers, true
+	if s := c.searches.byQuery[key]; s != nil && (s.inFlight || now.Sub(s.answered) < answersValidity) {
+		return s
 	}
-	if s == nil || !s.inFlight {
-		if c.searches.inFlight >= maxSearches {
-			return nil, false
-		}
-		if c.searches.byQuery == nil {
-			c.searches.byQuery = map[string]*search{}
-		}
-		s = &search{inFlight: true}
-		c.searches.byQuery[key] = s
-		c.searches.inFlight++
-		c.Metrics.Count("searches", 1)
-		c.Neighbours.Search(q)
+	if c.searches.inFlight >= maxSearches {
+		return nil
 	}
-	if j != nil {
-		s.waiting = append(s.waiting, j)
+	if c.searches.byQuery == nil {
+		c.searches.byQuery = map[string]*search{}
 	}
-	return nil, false
+	s := &search{inFlight: true}
+	c.searches.byQuery[key] = s
+	c.searches.inFlight++
+	c.Metrics.Count("searches", 1)
+	c.Neighbours.Search(q)
+	return s
 }
 
 // searchAnswered processes the answers of the other cells to q.
@@ -237,11 +230,11 @@
 	if crowded && now.Sub(j.waitsSince) < crowdedWait {
 		return
 	}
-	answers, known := c.answers(now, q, nil)
-	if !known {
+	s := c.search(now, q)
+	if s == nil || s.inFlight {
 		return
 	}
-	at := c.choose(j, answers, here, crowded)
+	at := c.choose(j, s.answers, here, crowded)
 	if at == nil {
 		j.searchAt = now.Add(searchBackoff)
 		return
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -102,12 +102,13 @@
 	j.setRunFloor(j.runFloor(c.Term.TermNumber))
 	j.placing = true
 	c.jobs[j.ID] = j
-	answers, known := c.answers(now, j.query(), j)
-	switch {
-	case known:
-		c.admitElsewhere(now, j, answers)
-	case c.searches.byQuery[string(encode(j.query()))] == nil:
-		c.refuse(j, ReasonNoRunnerFits, retryAfter) // too many searches are in flight
+	switch s := c.search(now, j.query()); {
+	case s == nil:
+		c.refuse(j, ReasonNoRunnerFits, retryAfter)
+	case s.inFlight:
+		s.waiting = append(s.waiting, j)
+	default:
+		c.admitElsewhere(now, j, s.answers)
 	}
 }
 
