cell: less state for ends to report, one place for cancels of moved jobs

Read once more: the ends that a home has not noted were kept twice, now only their ids; cancellations that waited for a job to be stored were handled in two functions that follow each other, now in the second. A comment said of the home of a moved job what is no more so. Behaviour is meant to be the same, no test is changed.

--- a/core/cell/ended.go
+++ b/core/cell/ended.go
@@ -23,8 +23,8 @@
 // endedJobs holds the ends of jobs for as long as they are reported.
 type endedJobs struct {
 	jobs      map[string]jobEnd
-	byEndTime []string          // identifiers in order of the end
-	unnoted   map[string]jobEnd // those with a home
+	byEndTime []string        // identifiers in order of the end
+	unnoted   map[string]bool // identifiers of those with a home
 }
 
 // add records the end of a job. Its time must not be before those already recorded.
@@ -33,19 +33,19 @@
 	e.byEndTime = append(e.byEndTime, id)
 	if end.home != "" {
 		if e.unnoted == nil {
-			e.unnoted = map[string]jobEnd{}
+			e.unnoted = map[string]bool{}
 		}
-		e.unnoted[id] = end
+		e.unnoted[id] = true
 	}
 }
 
 // setNoted records that the home of a job has taken note of its end.
 func (e *endedJobs) setNoted(id string) {
-	end, found := e.unnoted[id]
-	if !found {
+	if !e.unnoted[id] {
 		return
 	}
 	delete(e.unnoted, id)
+	end := e.jobs[id]
 	end.home = ""
 	e.jobs[id] = end
 }
@@ -66,7 +66,7 @@
 		id := e.byEndTime[n]
 		if end := e.jobs[id]; end.home != "" { // its home would take the job for one that goes on
 			end.at = now
-			e.jobs[id], e.unnoted[id] = end, end
+			e.jobs[id] = end
 			e.byEndTime = append(e.byEndTime, id)
 			n++
 			continue
--- a/core/cell/move.go
+++ b/core/cell/move.go
@@ -76,6 +76,7 @@
 	}
 	j.taken = nil
 	if !j.isHere() {
+		j.answerCancels(work.Unknown, false)
 		c.passOn(now, j)
 		return
 	}
@@ -226,7 +227,8 @@
 	}
 	c.reportAt = now.Add(endsInterval)
 	byHome := map[string][]MovedEnd{}
-	for id, end := range c.endedJobs.unnoted {
+	for id := range c.endedJobs.unnoted {
+		end := c.endedJobs.jobs[id]
 		if list := byHome[end.home]; len(list) < maxReported {
 			byHome[end.home] = append(list, MovedEnd{ID: id, Number: end.number, State: end.state})
 		}
--- a/core/cell/neighbours.go
+++ b/core/cell/neighbours.go
@@ -37,7 +37,7 @@
 // MovedJob is a job on its way to another cell, with its progress.
 type MovedJob struct {
 	Job   work.Job                `json:"job"`
-	Place Place                   `json:"place"` // the cell that it leaves is its home if none is given
+	Place Place                   `json:"place"` // with its home, and without the cell that it goes to
 	From  string                  `json:"from"`
 	Parts map[int]json.RawMessage `json:"parts,omitempty"` // values of the rows of its progress, by part
 }
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -267,12 +267,6 @@
 // meanwhile.
 func (c *Cell) acceptStored(now time.Time, j *job) {
 	c.accept(now, j)
-	switch {
-	case !j.isHere():
-		j.answerCancels(work.Unknown, false)
-	case len(j.cancels) > 0:
-		c.finish(now, j, work.Cancelled)
-	}
 	c.placeStored(now, j)
 }
 
