election, cell: a holder knows of all terms that may have left runs, not of the last only

Cause, by the logs of what each holder believed at its start orders: two faults. - A reserve took itself to have taken over as soon as the leases of stored jobs had lapsed, though the holder that was cut off went on with transient ones. When the cut ended it handed the cell over as completely known, by the runners that it had reached; the directory had 4 of 16 again. The next holder started the tasks on the others anew. The same holds for a next holder that claims the cell, for the time until which an earlier holder may run stored jobs. - A reserve that read its own claim in the rows before the store had answered it took the former holder for ended (claimed at 50.781 s, inherited at 51.877 s, 5.5 s early).

Ruled out: renewals by the cut-off holder beyond its right (it stopped with the row, and what it had started ended within its lease); a wait counted from a moment of the term before.

The row of the holder now says of each term that may not be accounted for its epoch, its runners, until when it may run stored jobs and whether it may go on with transient ones; a claim takes what it says of the replaced term from there as well. A holder reports its set of runners, and hands over as complete, once all of them are accounted for. A holder that learns of a later one reports its end and the runners on which it may have runs, so that these need not wait.

TestNotices expects the new field.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -37,10 +37,11 @@
 
 // Term identifies one term of a holder of a cell.
 type Term struct {
-	Cell       string // name of the cell, and first part of its row keys
-	HolderKey  string // key of the holder's row
-	Epoch      int64  // version of the holder's row, higher than in all previous terms
-	TermNumber int    // number of holders so far, including this one
+	Cell          string // name of the cell, and first part of its row keys
+	HolderKey     string // key of the holder's row
+	Epoch         int64  // version of the holder's row, higher than in all previous terms
+	TermNumber    int    // number of holders so far, including this one
+	PreviousEpoch int64  // epoch of the previous holder; zero if there was none
 	// PreviousRunners is the fingerprint of the ids of the runners on which the previous holder
 	// may have runs; zero if it is not known.
 	PreviousRunners fingerprint.Set
@@ -50,6 +51,9 @@
 	// PreviousOpen means that the previous holder may go on with transient jobs after PreviousEnd, on
 	// runners that this one has not reached.
 	PreviousOpen bool
+	// Earlier holds what is known of the terms before the previous one, if that one had not accounted
+	// for all that they may have left.
+	Earlier []EarlierTerm
 	// PreviousAlive is a time at which the previous holder was certainly alive; zero if none is
 	// known.
 	PreviousAlive time.Time
@@ -89,64 +93,38 @@
 	adviceInFlight bool      // a request to the adviser is in flight
 	nextAdvice     time.Time // earliest time of the next request
 
-	loaded           bool             // the rows have been read
-	setAside         map[string]int64 // versions of the rows that hold no job that can run, by name
-	pendingCancels   []pendingCancel
-	takenOver        bool      // no unaccounted run of a previous holder can be left
-	previousKnown    bool      // the previous holder has said on which runners it may have runs
-	takeoverDeadline time.Time // when all leases of previous holders have expired
-	sets             runnerSets
-	deposed          bool
-	passPending      bool      // RunPass has work to do
-	draining         bool      // sends no more start orders
-	leaseUntil       time.Time // until when orders may be sent: no other instance relies on transient jobs to have ended
-	storedUntil      time.Time // until when no other instance can start what this one may have started
-	allReached       bool      // all runners on which the previous holder may have runs have answered
+	loaded         bool             // the rows have been read
+	setAside       map[string]int64 // versions of the rows that hold no job that can run, by name
+	pendingCancels []pendingCancel
+	takenOver      bool         // no unaccounted run of a stored job by a former holder can be left
+	former         []formerTerm // those that may have left runs, the previous one last
+	sets           runnerSets
+	deposed        bool
+	passPending    bool      // RunPass has work to do
+	draining       bool      // sends no more start orders
+	leaseUntil     time.Time // until when orders may be sent: no other instance relies on transient jobs to have ended
+	storedUntil    time.Time // until when no other instance can start what this one may have started
 }
 
 // New returns a Cell without jobs and runners for the term t that begins at now. It
 // starts nothing before LoadJobs has been called and ExtendLease has granted time.
 func New(t Term, s Settings, now time.Time) *Cell {
 	s = s.withDefaults()
-	previousEnd := t.PreviousEnd
-	if previousEnd.IsZero() {
-		previousEnd = now
-	}
 	return &Cell{
-		Term:             t,
-		Settings:         s,
-		Log:              log.NewNopLogger(),
-		Metrics:          noopMetrics{},
-		WallClock:        func() int64 { return time.Now().UnixMilli() },
-		jobs:             map[string]*job{},
-		setAside:         map[string]int64{},
-		away:             map[string]*job{},
-		runners:          map[string]*runner{},
-		writer:           rowWriter{transactions: map[int64]*transaction{}},
-		estimates:        estimates{queues: map[string]*queueRunTime{}, kinds: map[string]*kindSpeed{}},
-		endedJobs:        endedJobs{jobs: map[string]jobEnd{}},
-		takeoverDeadline: previousEnd.Add(s.longestLease()),
-		takenOver:        t.TermNumber <= 1,
-	}
-}
-
-// PreviousEnded records that the previous holder has ended its term, and may have left runs, or
-// ends that are not in the rows, on the given runners. If complete is true, no runs or ends of
-// its predecessors are left on others, and none of them extends a lease any more.
-func (c *Cell) PreviousEnded(now time.Time, occupied []RunnerInfo, complete bool) {
-	if c.deposed || c.takenOver {
-		return
-	}
-	c.previousKnown = complete
-	for _, entry := range occupied {
-		if r := c.runners[entry.ID]; r != nil {
-			r.handedOver = true
-		} else {
-			c.addUnlisted(now, entry)
-		}
-	}
-	if deadline := now.Add(c.Settings.longestLease()); complete && deadline.Before(c.takeoverDeadline) {
-		c.takeoverDeadline = deadline
+		Term:      t,
+		Settings:  s,
+		Log:       log.NewNopLogger(),
+		Metrics:   noopMetrics{},
+		WallClock: func() int64 { return time.Now().UnixMilli() },
+		jobs:      map[string]*job{},
+		setAside:  map[string]int64{},
+		away:      map[string]*job{},
+		runners:   map[string]*runner{},
+		writer:    rowWriter{transactions: map[int64]*transaction{}},
+		estimates: estimates{queues: map[string]*queueRunTime{}, kinds: map[string]*kindSpeed{}},
+		endedJobs: endedJobs{jobs: map[string]jobEnd{}},
+		takenOver: t.TermNumber <= 1,
+		former:    formerTerms(t, now),
 	}
 }
 
@@ -212,7 +190,7 @@
 			runners = append(runners, r.RunnerInfo)
 		}
 	}
-	return runners, c.takenOver
+	return runners, c.accounted()
 }
 
 // OrderLatency returns the mean time from when orders are sent until their replies are
@@ -269,15 +247,6 @@
 	return c.mayStart(now) && (j.Transient || now.Before(c.storedUntil)) && (!j.inherited || c.mayStartInherited(now, j))
 }
 
-// mayStartInherited reports whether no run of j by a previous holder can be left.
-func (c *Cell) mayStartInherited(now time.Time, j *job) bool {
-	if !c.takenOver || !j.Transient || !c.Term.PreviousOpen || c.allReached {
-		return c.takenOver
-	}
-	// The previous holder stops the runs of callers that it has lost.
-	return now.Sub(j.received) > c.Settings.ResubmitAfter+c.Settings.longestLease()
-}
-
 // mayStart reports whether start orders may be sent at now.
 func (c *Cell) mayStart(now time.Time) bool {
 	return c.loaded && !c.deposed && !c.draining && now.Before(c.leaseUntil)
@@ -322,41 +291,6 @@
 	c.flush(now)
 }
 
-// completeTakeover allows the tasks of inherited jobs to start once no unaccounted run
-// of a previous holder can be left: all runners on which it may have runs are known and have
-// answered under a token of this holder, or the leases have expired. A runner with more ends than
-// it can list is waited for in any case, since its leases go on.
-func (c *Cell) completeTakeover(now time.Time) {
-	if !c.loaded || (c.takenOver && (c.allReached || !c.Term.PreviousOpen)) {
-		return
-	}
-	synced := 0
-	allSynced := true
-	for _, r := range c.sorted {
-		if r.synced {
-			synced++
-		} else if r.isListed(now) || r.handedOver {
-			allSynced = false
-		}
-		if c.mayHideEnds(now, r) {
-			return
-		}
-	}
-	known := c.previousKnown || (c.Term.PreviousRunners != 0 && c.Term.PreviousRunners == c.directorySet())
-	c.allReached = known && allSynced && synced > 0
-	if c.takenOver || (now.Before(c.takeoverDeadline) && !c.allReached) {
-		return
-	}
-	c.takenOver = true
-	c.log("event", "inherited", "runners", synced, "all", allSynced, "known", known, "jobs", len(c.jobs))
-}
-
-// mayHideEnds reports whether r may have ended tasks without this holder knowing, since it has more
-// ends than it can list and its leases go on.
-func (c *Cell) mayHideEnds(now time.Time, r *runner) bool {
-	return r.endsTruncated && !r.synced && (r.isListed(now) || r.handedOver || len(r.runs) > 0) && !r.isSilent(now, c.Settings.longestLease())
-}
-
 // directorySet returns the fingerprint of the ids of the runners in the directory.
 func (c *Cell) directorySet() fingerprint.Set {
 	return fingerprint.Of(func(yield func(string) bool) {
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -50,7 +50,7 @@
 // a core free. The slice is valid until the next call.
 func (c *Cell) usable(now time.Time, least int) []*runner {
 	list := c.scratch[:0]
-	if c.takenOver {
+	if c.accounted() {
 		c.updateRunnerSet(now)
 	}
 	for _, r := range c.sorted {
--- a/core/cell/runnersets.go
+++ b/core/cell/runnersets.go
@@ -41,7 +41,7 @@
 // without becoming listed first. It is zero while there may be runs of previous holders on
 // others.
 func (c *Cell) RunnerSet(now time.Time) fingerprint.Set {
-	if !c.takenOver {
+	if !c.accounted() {
 		return 0
 	}
 	c.updateRunnerSet(now)
@@ -81,5 +81,5 @@
 // isReported reports whether the next holder will look for runs on r, since it has read no
 // heartbeat with a set of runners or one with r.
 func (c *Cell) isReported(r *runner) bool {
-	return !c.takenOver || (r.memberSince > 0 && r.memberSince <= max(c.sets.reported, 1))
+	return !c.accounted() || (r.memberSince > 0 && r.memberSince <= max(c.sets.reported, 1))
 }
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -185,6 +185,7 @@
 	}
 	t.Cell, t.HolderKey, t.Epoch, t.TermNumber = w.cellName, key, w.store.version, p.termNumber
 	t.PreviousRunners, t.PreviousAlive = previousRunners, previousAlive
+	w.recordTerm(p, &t)
 	p.cell = cell.New(t, cell.Settings{}, w.now)
 	p.epoch = w.store.version
 	p.cell.Orders, p.cell.Store, p.cell.Adviser = p, p, p
@@ -206,6 +207,25 @@
 	return p
 }
 
+// recordTerm completes the term t of p, which is to become the holder, like an election: with what the
+// row of the current holder says of the terms before, unless it has reported that it knows what they
+// have left.
+func (w *world) recordTerm(p *process, t *cell.Term) {
+	if p.termNumber == 1 {
+		return
+	}
+	previous := w.holder()
+	t.PreviousEpoch = previous.epoch
+	if previous.runnerSet == 0 {
+		t.Earlier = previous.earlier
+	}
+	end := t.PreviousEnd
+	if end.IsZero() {
+		end = w.now
+	}
+	p.earlier = append(slices.Clone(t.Earlier), cell.EarlierTerm{Epoch: previous.epoch, Runners: t.PreviousRunners, End: end, Open: t.PreviousOpen})
+}
+
 // holderKey returns the key of the holder's row.
 func (w *world) holderKey() string { return w.cellName + "/cells/holder" }
 
@@ -348,10 +368,11 @@
 	onDisconnect       []func() // called when its connections to callers break
 	holdsSent          int
 	stopsSent          int
-	runnerSet          fingerprint.Set // as last reported by a heartbeat
-	leaseUntil         time.Time       // as last extended
-	aliveAt            time.Time       // when its last heartbeat was sent
-	promised           bool            // its standbys promise not to take over
+	runnerSet          fingerprint.Set    // as last reported by a heartbeat
+	leaseUntil         time.Time          // as last extended
+	aliveAt            time.Time          // when its last heartbeat was sent
+	promised           bool               // its standbys promise not to take over
+	earlier            []cell.EarlierTerm // terms before, as in its row
 }
 
 // exec runs do and a pass of the cell in the goroutine of the holder. It does nothing
--- a/core/election/elector.go
+++ b/core/election/elector.go
@@ -86,12 +86,11 @@
 	releasedEpoch     int64 // epoch of a holder that has given the cell up; zero if none has
 	releasedAt        time.Time
 	holderClock       clockReading
-	openClaim         *rowVersions // of a claim whose outcome is not known; nil if there is none
-	previousEnd       time.Time    // end of the lease of the holder that this instance is replacing; zero if not known
-	previousOpen      bool         // that holder may go on with jobs that need not be kept
-	transferredEnd    time.Time    // end of the leases of the holders that have written another one into the row
-	lastWritten       time.Time    // when the last heartbeat of this instance that was written was sent
-	term              Term         // of this instance, if leading
+	openClaim         *rowVersions  // of a claim whose outcome is not known; nil if there is none
+	earlier           []EarlierTerm // terms before that of the holder whose runs it may have to account for
+	transferredEnd    time.Time     // end of the leases of the holders that have written another one into the row
+	lastWritten       time.Time     // when the last heartbeat of this instance that was written was sent
+	term              Term          // of this instance, if leading
 	leading           bool
 	retired           bool // this instance no longer takes over
 	heartbeatNumber   int64
@@ -226,10 +225,12 @@
 	}
 	previousTerm := e.term
 	wasLeading := e.leading
-	previousRunners := fingerprint.Set(0)
-	if e.heartbeatVersion > e.holderVersion { // else it is of an earlier term
-		previousRunners = e.heartbeat.Set
+	replaced := e.holderVersion
+	if h.Previous != 0 {
+		replaced = h.Previous // the row may have changed more than once since it was last read
 	}
+	previousRunners := e.reportedRunners(replaced)
+	e.earlier = earlierTerms(now, h.Earlier)
 	e.holder, e.holderVersion, e.lastHeartbeat = h, r.Version, now
 	close(e.changed)
 	e.changed = make(chan struct{})
@@ -249,14 +250,15 @@
 		e.Leader.EndTerm(previousTerm, "the holder row names "+h.Node)
 	}
 	if e.leading {
-		end := e.previousEnd
+		previous := e.replacedTerm(replaced)
+		end, open := previous.End, previous.Open
 		switch {
 		case h.Previous != 0:
 			end = e.transferredEnd
 		case previousRunners == 0 && earlierEnd.After(now):
 			end = latest(end, earlierEnd) // the previous holder may not have taken over from an earlier one
 		}
-		e.term = Term{Epoch: r.Version, Number: h.TermNumber, PreviousRunners: previousRunners, PreviousEpoch: h.Previous, PreviousEnd: end, PreviousOpen: e.previousOpen}
+		e.term = Term{Epoch: r.Version, Number: h.TermNumber, PreviousRunners: previousRunners, PreviousEpoch: h.Previous, PreviousEnd: end, PreviousOpen: open, ReplacedEpoch: replaced, Earlier: earlierThan(replaced, e.earlier)}
 		e.lastWritten = time.Time{}
 		e.Leader.BeginTerm(e.term)
 	}
@@ -315,7 +317,7 @@
 // versions and on the conditions in others. It reports whether the rows were written;
 // false after an error, when the outcome is unknown. Previous is what is known of the term that
 // ends if they were.
-func (e *Elector) writeHolder(ctx context.Context, version, standbysVersion int64, h Holder, previous previousTerm, others ...table.Op) bool {
+func (e *Elector) writeHolder(ctx context.Context, version, standbysVersion int64, h Holder, others ...table.Op) bool {
 	limited, cancel := context.WithTimeout(ctx, e.Settings.StoreTimeout)
 	defer cancel()
 	standbysOp := table.Op{Key: e.key(StandbysRow), IfVersion: standbysVersion, CheckOnly: true}
@@ -341,9 +343,7 @@
 		if !standbysOp.CheckOnly {
 			rows = append([]table.Row{{Key: e.key(StandbysRow), Version: written.Version, Value: standbysOp.Value}}, rows...)
 		}
-		e.setPrevious(previous)
 		e.applyRows(rows)
-		e.setPrevious(previousTerm{})
 		if h.Incarnation == e.Self.Incarnation {
 			e.mu.Lock()
 			e.lastWritten = sent
@@ -369,19 +369,6 @@
 	}
 }
 
-// previousTerm is what is known of the term that a claim ends. The zero value stands for one of which
-// nothing is known.
-type previousTerm struct {
-	end  time.Time // when its lease has expired; zero if that is not known
-	open bool      // the holder may go on with jobs that need not be kept
-}
-
-func (e *Elector) setPrevious(p previousTerm) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.previousEnd, e.previousOpen = p.end, p.open
-}
-
 // Transfer transfers the cell to another member. It reports whether this instance is no
 // longer the holder.
 func (e *Elector) Transfer(ctx context.Context, to Member) bool {
@@ -392,7 +379,7 @@
 		return true
 	}
 	_ = e.Log.Log("event", "resign", "to", to.Node, "epoch", term.Epoch)
-	if e.writeHolder(ctx, term.Epoch, standbysVersion, Holder{Member: to, TermNumber: term.Number + 1, Previous: term.Epoch}, previousTerm{}) {
+	if e.writeHolder(ctx, term.Epoch, standbysVersion, Holder{Member: to, TermNumber: term.Number + 1, Previous: term.Epoch, Earlier: e.earlierOfTransfer()}) {
 		return true
 	}
 	e.mu.Lock()
--- a/core/election/elector_test.go
+++ b/core/election/elector_test.go
@@ -24,10 +24,11 @@
 	changed     chan struct{}
 	unreachable map[string]bool          // names of members, or "all"
 	late        map[string]time.Duration // by member: how late writes take effect, without an answer
+	slowAnswers map[string]time.Duration // by member: the time from when writes take effect until their answer
 }
 
 func newStore() *store {
-	return &store{rows: map[string]table.Row{}, changed: make(chan struct{}), unreachable: map[string]bool{}, late: map[string]time.Duration{}}
+	return &store{rows: map[string]table.Row{}, changed: make(chan struct{}), unreachable: map[string]bool{}, late: map[string]time.Duration{}, slowAnswers: map[string]time.Duration{}}
 }
 
 // memberStore is the store as one member reaches it.
@@ -53,7 +54,11 @@
 		return table.Written{}, err
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer func() {
+		d := s.slowAnswers[s.name]
+		s.mu.Unlock()
+		time.Sleep(d)
+	}()
 	if d := s.late[s.name]; d > 0 {
 		time.AfterFunc(d, func() {
 			s.mu.Lock()
--- a/core/election/member.go
+++ b/core/election/member.go
@@ -25,6 +25,9 @@
 	// Previous is the epoch of the holder that has handed the cell over; zero if this one has
 	// claimed it.
 	Previous int64 `json:"previous,omitempty"`
+
+	// Earlier holds the terms before this one whose runs this holder may have to account for.
+	Earlier []earlierRow `json:"earlier,omitempty"`
 }
 
 // Heartbeat is the value of the heartbeat row.
@@ -33,8 +36,8 @@
 	Number      int64  `json:"number"`
 	Runners     int    `json:"runners"` // runners that the holder can send orders to
 
-	// Set is the fingerprint of the runners on which the holder may have runs; zero if not
-	// stated.
+	// Set is the fingerprint of the runners on which the holder may have runs; zero if it has not
+	// accounted for what earlier holders may have left.
 	Set fingerprint.Set `json:"set,omitempty"`
 
 	// Sent is when it was sent, in nanoseconds on the clock of the holder; zero if not stated.
@@ -53,6 +56,11 @@
 	PreviousRunners fingerprint.Set
 	// PreviousEpoch is the epoch of the holder that has handed the cell over; zero if none has.
 	PreviousEpoch int64
+	// ReplacedEpoch is the epoch of the previous holder, however its term has ended; zero if there was
+	// none.
+	ReplacedEpoch int64
+	// Earlier holds the terms before the previous one whose runs that one had not accounted for.
+	Earlier []EarlierTerm
 	// PreviousEnd is when the lease of the previous holder will certainly have expired; zero if
 	// it has by now. A holder that has handed the cell over may not know it and go on.
 	PreviousEnd time.Time
--- a/core/election/reserve_test.go
+++ b/core/election/reserve_test.go
@@ -61,6 +61,31 @@
 	}
 }
 
+// TestClaimReadBeforeAnswer guards against a reserve that takes the former holder for ended, since it reads
+// its own claim in the rows before the store has answered it.
+func TestClaimReadBeforeAnswer(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		var reachable atomic.Bool
+		reachable.Store(true)
+		c := newReserveCluster(t, &reachable)
+		m := c.holder(t)
+		limit := m.elector.StoredLimit()
+		c.store.mu.Lock()
+		for name := range c.members {
+			c.store.slowAnswers[name] = 50 * time.Millisecond
+		}
+		c.store.mu.Unlock()
+		c.lose(m.name, c.standbys(m.name)[0])
+		for len(c.leading()) == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		term := c.holder(t).terms()[0]
+		require.True(t, term.PreviousOpen)
+		require.False(t, term.PreviousEnd.Before(limit))
+	})
+}
+
 // TestReserveComesLast loses the holder only. Its standby must take over, not a reserve.
 func TestReserveComesLast(t *testing.T) {
 	t.Parallel()
--- a/core/election/standbys_test.go
+++ b/core/election/standbys_test.go
@@ -182,7 +182,7 @@
 			h, _, _ := e.Holder()
 			require.Equal(t, step.want, h.Node)
 		}
-		require.Equal(t, []election.Term{{Epoch: 5, Number: 5}}, m.terms())
+		require.Equal(t, []election.Term{{Epoch: 5, Number: 5, ReplacedEpoch: 3}}, m.terms())
 		require.Equal(t, 1, m.losses())
 		require.Equal(t, newNotice("b", 6), e.Notice())
 		standbys, known := e.Standbys()
--- a/core/election/takeover.go
+++ b/core/election/takeover.go
@@ -109,6 +109,13 @@
 	return ""
 }
 
+// previousTerm is what is known of the term that a claim ends. The zero value stands for one of which
+// nothing is known.
+type previousTerm struct {
+	end  time.Time // when its lease has expired; zero if that is not known
+	open bool      // the holder may go on with jobs that need not be kept
+}
+
 // previousTerm returns what is known of the term that a claim in situation s ends, provided that no
 // heartbeat was written since the last one seen. A standby claims after the end of the lease, or of the
 // holder. Any other instance does not know whether the standbys extend the lease: only the time until
@@ -215,6 +222,6 @@
 // changed since the decision.
 func (e *Elector) claim(ctx context.Context, seen rowVersions, termNumber int, previous previousTerm, reason string) {
 	_ = e.Log.Log("event", "claim", "why", reason, "version", seen.holder, "round", termNumber)
-	e.writeHolder(ctx, seen.holder, seen.standbys, Holder{Member: e.Self, TermNumber: termNumber}, previous,
+	e.writeHolder(ctx, seen.holder, seen.standbys, Holder{Member: e.Self, TermNumber: termNumber, Earlier: e.earlierOfClaim(previous)},
 		table.Op{Key: e.key(HeartbeatRow), IfVersion: seen.heartbeat, CheckOnly: true})
 }
--- a/core/eventloop/loop.go
+++ b/core/eventloop/loop.go
@@ -94,7 +94,7 @@
 		Term: t, Runners: r, Store: st, Clock: clock,
 		messages: make(chan cell.Message, messageQueueSize), done: make(chan struct{}), overload: overload.Detector{StartedAt: clock.Now()},
 	}
-	l.cell = cell.New(cell.Term{Cell: name, HolderKey: election.Key(name, election.HolderRow), Epoch: t.Epoch, TermNumber: t.Number, PreviousRunners: t.PreviousRunners, PreviousEnd: t.PreviousEnd, PreviousOpen: t.PreviousOpen, PreviousAlive: t.PreviousAlive}, s, clock.Now())
+	l.cell = cell.New(termOf(name, t), s, clock.Now())
 	l.cell.Log, l.cell.Metrics = logger, metrics
 	l.cell.Orders, l.cell.Store = orderSender{l}, writeSender{l}
 	l.cell.WallClock = (&wallclock.Clock{Monotonic: clock.Now, Wall: time.Now}).Now
@@ -331,6 +331,21 @@
 	c.PreviousEnded(now, m.occupied, m.complete)
 }
 
+// FormerEnded notifies the cell that the holder of an earlier epoch, which has not handed the cell over to
+// this one, has ended its term, and of the runners on which it may have runs.
+func (l *Loop) FormerEnded(epoch int64, occupied []cell.RunnerInfo) {
+	l.Post(formerEndedMessage{epoch, occupied})
+}
+
+type formerEndedMessage struct {
+	epoch    int64
+	occupied []cell.RunnerInfo
+}
+
+func (m formerEndedMessage) Apply(c *cell.Cell, now time.Time) {
+	c.FormerEnded(now, m.epoch, m.occupied)
+}
+
 // Occupied waits until the term is over and returns the runners that may have runs. Complete is
 // false if there may be others.
 func (l *Loop) Occupied() (runners []cell.RunnerInfo, complete bool) {
@@ -516,3 +531,16 @@
 	var v interface{ NotWritten() bool }
 	return errors.As(err, &v) && v.NotWritten()
 }
+
+// termOf returns the term t of a holder as the cell with the given name needs it.
+func termOf(name string, t election.Term) cell.Term {
+	term := cell.Term{
+		Cell: name, HolderKey: election.Key(name, election.HolderRow), Epoch: t.Epoch, TermNumber: t.Number,
+		PreviousEpoch: t.ReplacedEpoch, PreviousRunners: t.PreviousRunners, PreviousEnd: t.PreviousEnd,
+		PreviousOpen: t.PreviousOpen, PreviousAlive: t.PreviousAlive,
+	}
+	for _, e := range t.Earlier {
+		term.Earlier = append(term.Earlier, cell.EarlierTerm(e))
+	}
+	return term
+}
--- a/core/proxy/hello.go
+++ b/core/proxy/hello.go
@@ -137,7 +137,7 @@
 	Epoch int64 `json:"epoch"`
 }
 
-// handed is the message of a holder that has handed the cell over to the receiver.
+// handed is the message of a holder whose term has ended to the one that holds the cell now.
 type handed struct {
 	Epoch    int64             `json:"epoch,omitempty"` // of the term that has ended
 	Occupied []cell.RunnerInfo `json:"list,omitempty"`  // runners that may have runs
@@ -152,11 +152,12 @@
 }
 
 // handleHanded looks whether the row of the holder names this instance, since the message
-// itself proves nothing, and notifies the cell of the end of the term before.
+// itself proves nothing, and notifies the cell of the end of the term, of the previous holder or an
+// earlier one.
 func (p *Proxy) handleHanded(ctx context.Context, m handed) (struct{}, error) {
 	err := p.Elector.Lookup(ctx)
-	if l := p.currentLoop(); l != nil && m.Epoch != 0 && l.Term.PreviousEpoch == m.Epoch {
-		l.PreviousEnded(m.Occupied, m.Complete)
+	if l := p.currentLoop(); l != nil {
+		notifyEnd(l, m)
 	}
 	return struct{}{}, err
 }
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -244,6 +244,7 @@
 			p.loop = nil
 		}
 		go p.endHeartbeats(t, l.Failed())
+		p.running.Go(func() { p.reportEnd(ctx, l) })
 	})
 }
 
