--- a/core/cell/former.go
+++ b/core/cell/former.go
@@ -126,11 +126,12 @@
 		}
 	}
 	listed := c.directorySet()
-	lapsed := true // for stored jobs, in all terms that are left
+	known, lapsed := true, true // lapsed: the leases of stored jobs, in all terms that are left
 	c.former = slices.DeleteFunc(c.former, func(f formerTerm) bool {
-		known := f.told || (f.Runners != 0 && f.Runners == listed)
+		runnersKnown := f.told || (f.Runners != 0 && f.Runners == listed)
 		over := !now.Before(f.End.Add(c.Settings.longestLease()))
-		gone := (known && allSynced && synced > 0) || (over && !f.Open)
+		gone := (runnersKnown && allSynced && synced > 0) || (over && !f.Open)
+		known = known && runnersKnown
 		lapsed = lapsed && (gone || over)
 		return gone
 	})
@@ -138,7 +139,7 @@
 		return
 	}
 	c.takenOver = true
-	c.log("event", "inherited", "runners", synced, "all", allSynced, "terms", len(c.former), "jobs", len(c.jobs))
+	c.log("event", "inherited", "runners", synced, "all", allSynced, "known", known, "terms", len(c.former), "jobs", len(c.jobs))
 }
 
 // mayHideEnds reports whether r may have ended tasks without this holder knowing, since it has more
