cell: a runner that rejects holds extends no lease

A runner that answered 503 to everything kept its runs booked without end: each rejected hold counted as an answer, so the runner never was silent, and as one that might have extended the lease. Their tasks did not start elsewhere; a stored job would be LOST. A rejected hold now counts as unanswered, a rejected start as an answer of a runner that did nothing. TestFullRunnerLost, unhealthy: 2 of 4 tasks ran elsewhere after 3 s before, 4 of 4 after.

--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -342,6 +342,9 @@
 	switch v {
 	case order.Unhealthy, order.Invalid:
 		r.health.recordFailure(now)
+		if x != nil && !r.unansweredSince.Before(x.startSent) {
+			r.unansweredSince = time.Time{} // a rejected start is an answer; a rejected hold extends no lease
+		}
 	case order.Fenced:
 	case order.Unknown:
 		if x != nil && x.startAnswered.IsZero() && x.startsInFlight == 0 && token == r.token && x.token == r.token && r.fenced {
--- a/core/cell/lost_test.go
+++ b/core/cell/lost_test.go
@@ -23,6 +23,7 @@
 	}{
 		{"silent", func(r *simRunner) { r.dead = true }, 3 * time.Second},
 		{"refusing", func(r *simRunner) { r.dead, r.refusesConns = true, true }, 3 * time.Second},
+		{"unhealthy", func(r *simRunner) { r.unhealthy = true }, 3 * time.Second},
 		{"its address taken by another", func(r *simRunner) { r.loseAddress() }, time.Second},
 	} {
 		for _, transient := range []bool{false, true} {
@@ -41,7 +42,9 @@
 				w.updateDirectory()
 				w.run(test.bound)
 				require.Len(t, other.runs, 4)
+				lost.unhealthy = false
 				w.run(40 * time.Second)
+				require.Empty(t, w.violations)
 				checkSettled(t, w)
 			})
 		}
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -185,7 +185,6 @@
 		}
 		return false
 	case order.Unhealthy:
-		r.unansweredSince = time.Time{}
 		return false
 	default:
 		return true
--- a/core/cell/runner_world_test.go
+++ b/core/cell/runner_world_test.go
@@ -32,6 +32,7 @@
 	unreachable  bool
 	dead         bool
 	refusesConns bool          // whether connections are refused while it is dead
+	unhealthy    bool          // whether it answers all orders as an unhealthy runner, which does nothing
 	replaced     bool          // whether it has crashed and another runner answers at its address
 	failsAll     bool          // whether every run fails
 	failsFirst   bool          // whether the first run of each task fails
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -491,6 +491,10 @@
 			w.after(w.jitter(), func() { reply(order.HoldReply{Verdict: order.WrongIncarnation}) })
 			return
 		}
+		if r.unhealthy {
+			w.after(w.jitter(), func() { reply(order.HoldReply{Verdict: order.Unhealthy}) })
+			return
+		}
 		r.hold(h, func(v order.HoldReply) {
 			if lost {
 				return
@@ -530,7 +534,10 @@
 			return
 		}
 		v := order.Reply{Verdict: order.WrongIncarnation}
-		if !r.replaced {
+		switch {
+		case r.unhealthy:
+			v.Verdict = order.Unhealthy
+		case !r.replaced:
 			v = do(r)
 		}
 		if lost {
