cell: a late reply under an old token does not end the probes of a runner

Cause, by a debug log of each hold: the start is refused twice, so the orders are made void and probed under a new token; the probe is refused too; then the long poll of before, on its open connection, is answered. It cleared the time since which the runner had not answered, and nothing asked it again: no hold in flight, nothing unanswered, not fenced. Ruled out: a restarted runner (same incarnation), rejected holds.

A reply answers only orders under its own token, and a runner that has not answered under its token is always probed.

--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -321,7 +321,7 @@
 		return
 	}
 	x.confirm(now, v.Clock)
-	r.recordAnswer(now, max(v.Clock, r.clock))
+	r.recordAnswer(now, given.Token, max(v.Clock, r.clock))
 	if x == nil {
 		return
 	}
--- a/core/cell/hold.go
+++ b/core/cell/hold.go
@@ -188,7 +188,7 @@
 // whose last hold failed. The time between them doubles up to probeInterval.
 func (c *Cell) retryHold(now time.Time, r *runner) {
 	unanswered := r.probeTicket != 0 && now.Sub(r.probeSent) > c.answerTimeout(r)
-	failed := r.probeTicket == 0 && !r.unansweredSince.IsZero()
+	failed := r.probeTicket == 0 && (!r.unansweredSince.IsZero() || !r.fenced)
 	if (unanswered || failed) && now.After(r.nextProbe) {
 		r.nextProbe = now.Add(min(c.answerTimeout(r)<<r.missedProbes, probeInterval))
 		r.missedProbes = min(r.missedProbes+1, maxProbeShift)
@@ -242,7 +242,7 @@
 	if h.Clock < r.clock && given.Token == r.token && r.fenced {
 		return // overtaken by a later reply
 	}
-	r.recordAnswer(now, h.Clock)
+	r.recordAnswer(now, given.Token, h.Clock)
 	if given.Token != r.token {
 		return
 	}
--- a/core/cell/run.go
+++ b/core/cell/run.go
@@ -212,6 +212,6 @@
 		return
 	}
 	if c.checkVerdict(now, r, given.Token, v.Verdict) {
-		r.recordAnswer(now, max(v.Clock, r.clock))
+		r.recordAnswer(now, given.Token, max(v.Clock, r.clock))
 	}
 }
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -156,13 +156,16 @@
 	return max(minAnswerTimeout, 4*r.health.meanLatency)
 }
 
-// recordAnswer records a reply at now with a reading of the runner's clock. A clock of
-// zero is not known.
-func (r *runner) recordAnswer(now time.Time, clock int64) {
+// recordAnswer records the reply at now to an order under a token, with a reading of the runner's clock. A
+// clock of zero is not known. A late reply to an order under an earlier token does not answer the orders
+// that were sent since.
+func (r *runner) recordAnswer(now time.Time, token, clock int64) {
 	if clock > 0 {
 		r.clock, r.clockAt = clock, now
 	}
-	r.unansweredSince, r.missedProbes = time.Time{}, 0
+	if token == r.token {
+		r.unansweredSince, r.missedProbes = time.Time{}, 0
+	}
 }
 
 // checkVerdict processes the verdict of a reply to an order given under token. It
--- a/core/cell/runner_world_test.go
+++ b/core/cell/runner_world_test.go
@@ -31,7 +31,7 @@
 	draining     bool // as stated in its directory entry
 	unreachable  bool
 	dead         bool
-	refusesConns bool          // whether connections are refused while it is dead
+	refusesConns bool          // whether connections are refused while it is dead or unreachable
 	unhealthy    bool          // whether it answers all orders as an unhealthy runner, which does nothing
 	replaced     bool          // whether it has crashed and another runner answers at its address
 	failsAll     bool          // whether every run fails
@@ -88,7 +88,7 @@
 // failureDelay returns how long a call without a reply takes to fail: timeout, or a
 // message delay if the runner refuses connections.
 func (r *simRunner) failureDelay(timeout time.Duration) time.Duration {
-	if r != nil && r.dead && r.refusesConns {
+	if r != nil && (r.dead || r.unreachable) && r.refusesConns {
 		return r.world.jitter()
 	}
 	return timeout
