cell: runs that hang are stopped by their progress, and their tasks keep off the runner

Callers waited until their deadline. Cause, by the orders for the jobs that they left: a run was moved only if another runner had room at that moment, which in a full fleet is late or never (0.5 to 1.6 s for tasks of 60 ms); its task then started on the same runner again, whose room it had just left.

A run without any progress after 1.5 times the time of the runners of its kind is stopped at once, its runner backs off, and a task that was stopped for want of progress is not started there again for 2 s if others will have room. TestHangingRunnersUnderLoad: 9 of 2,561 callers gave up before, 0 of 2,601 after.

--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -183,7 +183,7 @@
 	if r.health.consecutiveFailures > 0 && r.trials(now)+r.plannedMembers > 0 {
 		return false // after a failure, one trial at a time until one succeeds
 	}
-	if t.triedOn(r) && c.spareLastAttempt(now, t) {
+	if (t.triedOn(r) && c.spareLastAttempt(now, t)) || c.mustAvoid(now, t, r) {
 		return false
 	}
 	if s.MaxPerRunner > 0 {
--- a/core/cell/health.go
+++ b/core/cell/health.go
@@ -154,6 +154,7 @@
 		}
 	}
 	x.task.triedRunners = append(x.task.triedRunners, x.runner.ID)
+	x.task.avoid(now, x.runner)
 	x.runner.health.recordFailure(now)
 	x.runner.speed.updateOwn(1 / stragglerFactor)
 	c.stop(now, x, "stalled or too slow")
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -119,6 +119,8 @@
 	ready        bool     // may be started
 	run          *run     // run that may be alive, or nil
 	triedRunners []string // ids of runners avoided by later runs if possible
+	avoided      string   // id of the runner on which it is not started until avoidUntil, see mustAvoid
+	avoidUntil   time.Time
 	checkpoint   checkpoint
 }
 
--- a/core/cell/progress.go
+++ b/core/cell/progress.go
@@ -87,10 +87,12 @@
 	return time.Duration(float64(reportedAfter) * 100 / max(x.percent, leastPercent)), true
 }
 
-// moveSlowRuns applies moveIfSlow to all runs of r.
+// moveSlowRuns applies stopIfHung and moveIfSlow to all runs of r.
 func (c *Cell) moveSlowRuns(now time.Time, r *runner) {
 	for _, x := range r.sortedRuns() {
-		c.moveIfSlow(now, x)
+		if !c.stopIfHung(now, x) {
+			c.moveIfSlow(now, x)
+		}
 	}
 }
 
@@ -114,6 +116,7 @@
 		return
 	}
 	x.task.triedRunners = append(x.task.triedRunners, x.runner.ID)
+	x.task.avoid(now, x.runner)
 	x.runner.speed.replace(math.Log(expected / milliseconds(total)))
 	c.Metrics.Count("moved_slow", 1)
 	c.stop(now, x, "slower than elsewhere")
--- a/core/cell/runner_world_test.go
+++ b/core/cell/runner_world_test.go
@@ -37,6 +37,7 @@
 	failsAll     bool          // whether every run fails
 	failsFirst   bool          // whether the first run of each task fails
 	hangs        bool          // whether runs make no progress and never end
+	hangShare    float64       // share of the runs that make no progress and never end
 	unfit        bool          // whether it rejects all start orders
 	slowdown     float64       // factor by which runs take longer
 	losesPolls   bool          // replies to long polls are lost
@@ -200,7 +201,7 @@
 	x := &simRun{number: s.Run, cpu: step.CPU, startedAt: w.now, duration: duration, checkpoint: s.Checkpoint}
 	r.runs[s.Task], r.highestRun[s.Task] = x, s.Run
 	w.resumedFrom[s.Task] = s.Checkpoint
-	if r.hangs {
+	if r.hangs || w.chance(r.hangShare) {
 		x.stalled = true
 		return order.Reply{Verdict: order.Done, Clock: r.clock()}
 	}
--- a/core/cell/rush_test.go
+++ b/core/cell/rush_test.go
@@ -48,8 +48,8 @@
 }
 
 // playRush submits jobs at factor times the usual rate for a time and returns the results by
-// queue.
-func playRush(seed uint64, factor float64, duration time.Duration) map[string]*rushResult {
+// queue. Prepare, which may be nil, changes the world before.
+func playRush(seed uint64, factor float64, duration time.Duration, prepare func(*world)) map[string]*rushResult {
 	const runners = 16
 	w := newWorld(seed, runners, 64000)
 	speeds := [...]float64{0.6, 1, 1.6}
@@ -59,7 +59,10 @@
 		r := w.runners[fmt.Sprintf("r%d", i)]
 		r.slowdown, r.kind, r.cpu = 1/speeds[i%3], kinds[i%3], sizes[i%3]
 	}
-	w.faults.delay = time.Millisecond
+	w.faults.delay, w.rushAttempts = time.Millisecond, 3
+	if prepare != nil {
+		prepare(w)
+	}
 	w.takeOver()
 	w.run(time.Second)
 	results := map[string]*rushResult{}
@@ -90,7 +93,7 @@
 	j := newJob(number, true, work.Step{
 		Count: int(max(math.Round(spread(q.width, 0.4, 4*q.width)), 1)), CPU: int(spread(27000, 0.2, 40000)), Memory: 64, Estimate: estimate,
 	})
-	j.Queue = work.Queue{Name: q.name, Service: "s", Priority: q.priority, MaxAttempts: 3, Stretch: 1.6, TargetLatency: 60}
+	j.Queue = work.Queue{Name: q.name, Service: "s", Priority: q.priority, MaxAttempts: w.rushAttempts, Stretch: 1.6, TargetLatency: 60}
 	w.submitted[j.ID], w.realTimes[j.ID] = j, real/float64(estimate)
 	objective := time.Duration((1.6*real + 60) * float64(time.Millisecond))
 	sent, answered := w.now, false
@@ -153,7 +156,7 @@
 	} {
 		total := map[string]rushResult{}
 		for seed := range uint64(4) {
-			for name, r := range playRush(seed+1, test.factor, 5*time.Second) {
+			for name, r := range playRush(seed+1, test.factor, 5*time.Second, nil) {
 				total[name] = total[name].add(*r)
 			}
 		}
@@ -165,3 +168,30 @@
 		}
 	}
 }
+
+// badRunners plays a load that fills the runners nearly, while three of the 16 are bad, and returns the sum
+// over the queues and some seeds.
+func badRunners(spoil func(*simRunner)) rushResult {
+	total := rushResult{}
+	for seed := range uint64(6) {
+		results := playRush(seed+1, 1.7, 6*time.Second, func(w *world) {
+			w.rushAttempts = 2
+			for _, id := range []string{"r3", "r7", "r11"} {
+				spoil(w.runners[id])
+			}
+		})
+		for _, q := range rushQueues {
+			total = total.add(*results[q.name])
+		}
+	}
+	return total
+}
+
+// TestHangingRunnersUnderLoad guards against callers that wait until they give up, since a run that hangs
+// is found late, or its task starts on the same runner again as the only one with room.
+func TestHangingRunnersUnderLoad(t *testing.T) {
+	t.Parallel()
+	r := badRunners(func(r *simRunner) { r.hangShare = 0.45 })
+	t.Logf("%+v in time %.3f", r, r.share())
+	require.Less(t, float64(r.failed)/float64(r.asked), 0.002)
+}
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -35,6 +35,7 @@
 	loadDelay     time.Duration        // added to the time until a new holder has read the rows
 	refusedWrites []string             // reasons for which the store has refused writes as malformed
 	resumedFrom   map[work.Task]string // checkpoint that the last run of a task started from
+	rushAttempts  int                  // max attempts of the jobs of a rush
 	openQuestions int                  // number of unanswered questions to the adviser
 
 	submitted     map[string]*work.Job
