cell: a runner that fails several jobs is the cause, also if one of them fails elsewhere too

The load: several runners fail all that they start, quickly. A runner on which several jobs have failed since its last success now backs off in any case, and a job does not clear it.

--- a/core/cell/ends.go
+++ b/core/cell/ends.go
@@ -229,18 +229,24 @@
 
 // chargeFailure records a failure of j as one of the runner r, unless j has failed on
 // another runner too. The job is then the cause, and the health of the runners on which it
-// failed before is reset.
+// failed before is reset. A runner on which several jobs have failed since its last success is the cause in
+// any case: a wide job meets several of them at once.
 func (c *Cell) chargeFailure(now time.Time, j *job, r *runner) {
-	if len(j.failedOn) == 0 {
-		j.failedOn = append(j.failedOn, r)
+	if r.health.recordFailedJob(j.ID) {
 		r.health.recordFailure(now)
 		return
 	}
 	if slices.Contains(j.failedOn, r) {
 		return
 	}
+	j.failedOn = append(j.failedOn, r)
+	if len(j.failedOn) == 1 {
+		r.health.recordFailure(now)
+		return
+	}
 	for _, other := range j.failedOn {
-		other.health.reset()
+		if !other.health.severalJobs {
+			other.health.reset()
+		}
 	}
-	j.failedOn = append(j.failedOn, r)
 }
--- a/core/cell/health.go
+++ b/core/cell/health.go
@@ -20,6 +20,8 @@
 	failedAt            time.Time // when the last failure was recorded
 	backoffUntil        time.Time
 	successAt           time.Time     // when a run last succeeded
+	failedJob           string        // job of the first failure since the last success
+	severalJobs         bool          // runs of other jobs have failed since the last success, too
 	meanLatency         time.Duration // moving average of the reply latency
 }
 
@@ -42,9 +44,20 @@
 	h.backoffUntil = time.Time{}
 }
 
+// recordFailedJob records that a run of a job has failed. It reports whether runs of several jobs have
+// since the last success.
+func (h *health) recordFailedJob(id string) (several bool) {
+	if h.failedJob == "" {
+		h.failedJob = id
+	}
+	h.severalJobs = h.severalJobs || h.failedJob != id
+	return h.severalJobs
+}
+
 // recordSuccess resets the failure count. A back-off goes on.
 func (h *health) recordSuccess(now time.Time) {
 	h.consecutiveFailures = 0
+	h.failedJob, h.severalJobs = "", false
 	h.successAt = now
 }
 
--- a/core/cell/rush_test.go
+++ b/core/cell/rush_test.go
@@ -195,3 +195,12 @@
 	t.Logf("%+v in time %.3f", r, r.share())
 	require.Less(t, float64(r.failed)/float64(r.asked), 0.002)
 }
+
+// TestFailingRunnersUnderLoad guards against jobs that fail since several runners fail all that they start:
+// the jobs seem to be the cause, and the runners stay in use.
+func TestFailingRunnersUnderLoad(t *testing.T) {
+	t.Parallel()
+	r := badRunners(func(r *simRunner) { r.failsAll, r.slowdown = true, 0.1 })
+	t.Logf("%+v in time %.3f", r, r.share())
+	require.Less(t, float64(r.failed)/float64(r.asked), 0.01)
+}
