cell, evacuation, hosted: starts nothing in data centres that the operator has evacuated

Cause: a data centre could only be emptied by its runners leaving one by one.

Change: the rows op/evacuate/ZONE are decoded in platform and kept by core/evacuation, from the mirror that reads the configuration. Each cell gets the set before anything else, and its changes. Runners of an evacuated data centre get no new work in placement, admission, moves, estimates of capacity and resent orders; orders on their way when an evacuation begins are made void. A holder that has never read the rows starts nothing (Settings.AwaitEvacuations, set by hosted).

--- a/core/cell/admit.go
+++ b/core/cell/admit.go
@@ -30,8 +30,10 @@
 	switch {
 	case !j.Transient && (c.storeDown(now) || !now.Before(c.storedUntil)):
 		return ReasonStore, retryAfter
+	case !c.knowsEvacuations():
+		return ReasonStore, retryAfter
 	case !c.fitsIdleRunners(now, j):
-		return ReasonNoRunnerFits, retryAfter
+		return c.unfitReason(now, j), retryAfter
 	}
 	if j.RepeatCount > 0 || j.LongRunning() {
 		return "", 0
@@ -157,7 +159,7 @@
 func (c *Cell) capacity(now time.Time) float64 {
 	capacity := 0.0
 	for _, r := range c.sorted {
-		if r.isListed(now) && !r.Draining && (r.fenced || !r.synced) {
+		if r.isListed(now) && r.receivesWork() && (r.fenced || !r.synced) {
 			capacity += float64(r.Capacity.CPU) * r.speed.rate()
 		}
 	}
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -96,6 +96,7 @@
 	previousKnown    bool      // the previous holder has said on which runners it may have runs
 	takeoverDeadline time.Time // when all leases of previous holders have expired
 	sets             runnerSets
+	evacuations      evacuations
 	deposed          bool
 	passPending      bool      // RunPass has work to do
 	draining         bool      // sends no more start orders
@@ -280,7 +281,7 @@
 
 // mayStart reports whether start orders may be sent at now.
 func (c *Cell) mayStart(now time.Time) bool {
-	return c.loaded && !c.deposed && !c.draining && now.Before(c.leaseUntil)
+	return c.loaded && !c.deposed && !c.draining && now.Before(c.leaseUntil) && c.knowsEvacuations()
 }
 
 // Tick does the work that is due by time at now. It is to be called periodically.
@@ -298,6 +299,7 @@
 	}
 	c.stopBrokenGangs(now)
 	c.stopStalledRuns(now)
+	c.maintainEvacuations(now)
 	c.moveWaiting(now)
 	c.passMovedOn(now)
 	c.reportEnds(now)
--- a/core/cell/directory.go
+++ b/core/cell/directory.go
@@ -92,6 +92,7 @@
 func (c *Cell) addRunner(entry RunnerInfo) *runner {
 	r := &runner{unackedEnds: map[int64]bool{}, runs: map[runKey]*run{}}
 	r.RunnerInfo = entry
+	r.evacuated = c.evacuations.zones[entry.Zone]
 	c.runners[entry.ID] = r
 	at, _ := slices.BinarySearchFunc(c.sorted, entry.ID, func(r *runner, id string) int { return strings.Compare(r.ID, id) })
 	c.sorted = slices.Insert(c.sorted, at, r)
@@ -124,6 +125,7 @@
 		r.speed = speed{kind: kind}
 	}
 	r.RunnerInfo = entry
+	r.evacuated = c.evacuations.zones[entry.Zone]
 	r.inDirectory, r.unlistedAt = true, time.Time{}
 	if replaced && r.incarnation != 0 {
 		c.log("event", "runner", "runner", entry.ID, "state", "restarted", "born", entry.Incarnation, "addr", entry.Addr)
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -54,7 +54,7 @@
 		c.updateRunnerSet(now)
 	}
 	for _, r := range c.sorted {
-		if r.free().CPU >= least && c.isReported(r) && r.isListed(now) && r.capacityKnown() && !r.Draining && r.fenced && !r.health.isBackingOff(now) && !r.isSilent(now, c.answerTimeout(r)) {
+		if r.free().CPU >= least && c.isReported(r) && r.isListed(now) && r.capacityKnown() && r.receivesWork() && r.fenced && !r.health.isBackingOff(now) && !r.isSilent(now, c.answerTimeout(r)) {
 			list = append(list, r)
 		}
 	}
@@ -229,7 +229,7 @@
 func (c *Cell) placesFor(now time.Time, t *task, except func(*runner) bool) int {
 	places := 0
 	for _, r := range c.sorted {
-		if !r.suits(t.spec(), t.job.Queue.Service) || !r.isListed(now) || r.Draining || !r.fenced || r.isSilent(now, c.Settings.SilenceTimeout) ||
+		if !r.suits(t.spec(), t.job.Queue.Service) || !r.isListed(now) || !r.receivesWork() || !r.fenced || r.isSilent(now, c.Settings.SilenceTimeout) ||
 			!t.adviceAllows(now, r) || except(r) {
 			continue
 		}
--- a/core/cell/fit.go
+++ b/core/cell/fit.go
@@ -32,15 +32,20 @@
 }
 
 // fits reports whether the runners would hold the tasks of a step that have to run at the same time
-// if they were idle. Runners that leave do not count, nor do those that are silent at now for longer
-// than a limit, if that is not zero.
+// if they were idle. Runners that get no new work do not count, nor do those that are silent at now for
+// longer than a limit, if that is not zero.
 func (c *Cell) fits(now time.Time, s *work.Step, service string, silence time.Duration) bool {
+	return c.fitsOn(now, s, service, silence, (*runner).receivesWork)
+}
+
+// fitsOn is like fits for the runners for which counts returns true.
+func (c *Cell) fitsOn(now time.Time, s *work.Step, service string, silence time.Duration, counts func(*runner) bool) bool {
 	wanted := tasksAtOnce(s)
 	for _, r := range c.sorted {
 		if wanted <= 0 {
 			break
 		}
-		if r.suits(s, service) && r.isListed(now) && !r.Draining && (silence == 0 || !r.isSilent(now, silence)) {
+		if r.suits(s, service) && r.isListed(now) && counts(r) && (silence == 0 || !r.isSilent(now, silence)) {
 			wanted -= r.places(s, r.Capacity)
 		}
 	}
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -43,13 +43,14 @@
 
 // Reasons of a refusal.
 const (
-	ReasonLoad         = "load"  // the job could not be done in time
-	ReasonStore        = "store" // the store accepts no writes
-	ReasonLease        = "lease" // the holder may start nothing, since another may have become it
-	ReasonNoRunnerFits = "tasks" // no runner is large enough
-	ReasonTooLarge     = "size"  // the job does not fit into a row of the store
-	ReasonFault        = "fault" // the job has made the holder end its term
-	ReasonNoRoom       = "room"  // not all tasks can start at once, and the job was submitted for that only
+	ReasonLoad         = "load"      // the job could not be done in time
+	ReasonStore        = "store"     // the store accepts no writes
+	ReasonLease        = "lease"     // the holder may start nothing, since another may have become it
+	ReasonNoRunnerFits = "tasks"     // no runner is large enough
+	ReasonEvacuated    = "evacuated" // all runners that are large enough are in evacuated data centres
+	ReasonTooLarge     = "size"      // the job does not fit into a row of the store
+	ReasonFault        = "fault"     // the job has made the holder end its term
+	ReasonNoRoom       = "room"      // not all tasks can start at once, and the job was submitted for that only
 )
 
 // job is a job that has not ended, whose end is not stored, or that has a run that may
--- a/core/cell/neighbours.go
+++ b/core/cell/neighbours.go
@@ -27,11 +27,13 @@
 
 // Answer is the answer of a cell to a Query.
 type Answer struct {
-	Cell     string        `json:"cell"`
-	Fits     []bool        `json:"fits"`     // by step, whether the runners would hold it if they were idle
-	Places   int           `json:"places"`   // number of waiting tasks that could start at once
-	Admitted bool          `json:"admitted"` // the cell would be done in time
-	Drained  time.Duration `json:"drained"`  // time until the waiting work of the cell is done
+	Cell string `json:"cell"`
+	Fits []bool `json:"fits"` // by step, whether the runners would hold it if they were idle
+	// Evacuated says, by step, whether the runners would hold it if no data centre were evacuated.
+	Evacuated []bool        `json:"evacuated,omitempty"`
+	Places    int           `json:"places"`   // number of waiting tasks that could start at once
+	Admitted  bool          `json:"admitted"` // the cell would be done in time
+	Drained   time.Duration `json:"drained"`  // time until the waiting work of the cell is done
 }
 
 // MovedJob is a job on its way to another cell, with its progress.
@@ -60,6 +62,7 @@
 	for s := range w.Steps {
 		a.Fits = append(a.Fits, c.fits(now, &w.Steps[s], w.Queue.Service, c.Settings.SilenceTimeout))
 	}
+	a.Evacuated = c.fitsBesideEvacuations(now, w.Steps, w.Queue.Service)
 	a.Places = c.placesNow(now, &w, q.Now)
 	j := newJob(w, now)
 	j.due = now.Add(c.allowedTime(j))
--- a/core/cell/run.go
+++ b/core/cell/run.go
@@ -93,7 +93,7 @@
 // can be granted or nothing is to be started any more.
 func (c *Cell) resend(now time.Time, x *run) bool {
 	deadline := c.orderDeadline(now, x.runner)
-	if x.task == nil || !x.stopSent.IsZero() || deadline == 0 || !c.mayStart(now) || (!x.task.job.Transient && !now.Before(c.storedUntil)) {
+	if x.task == nil || !x.stopSent.IsZero() || deadline == 0 || x.runner.evacuated || !c.mayStart(now) || (!x.task.job.Transient && !now.Before(c.storedUntil)) {
 		return false
 	}
 	x.resent = true
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -30,6 +30,7 @@
 	RunnerInfo
 	inDirectory     bool
 	unlistedAt      time.Time // when the directory was first read without it; zero if it is in the directory
+	evacuated       bool      // its data centre is evacuated
 	handedOver      bool      // the previous holder may have runs on it
 	memberSince     int       // number of the first set of runners that it is in; zero if it is not in the last
 	incarnation     int64     // start time of the runner; zero if not known
--- a/core/cell/runner_world_test.go
+++ b/core/cell/runner_world_test.go
@@ -26,6 +26,7 @@
 	cpu          int
 	kind         string
 	rack         string
+	zone         string
 	label        string
 	inDirectory  bool
 	draining     bool // as stated in its directory entry
@@ -116,7 +117,7 @@
 // directoryEntry returns the directory entry of the current incarnation.
 func (r *simRunner) directoryEntry() cell.RunnerInfo {
 	return cell.RunnerInfo{
-		ID: r.id, Addr: r.id, Service: "s", MachineKind: r.kind, Rack: r.rack, Incarnation: r.startTime, Labels: []string{"a", r.rack, r.label}, Draining: r.draining,
+		ID: r.id, Addr: r.id, Service: "s", MachineKind: r.kind, Zone: r.zone, Rack: r.rack, Incarnation: r.startTime, Labels: []string{"a", r.rack, r.label}, Draining: r.draining,
 		Capacity: cell.Resources{CPU: r.cpu, Memory: 1 << 20},
 	}
 }
--- a/core/cell/search.go
+++ b/core/cell/search.go
@@ -113,6 +113,8 @@
 			return
 		}
 		reason, after = ReasonLoad, max(at.Drained, minRetryAfter)
+	} else if c.isEvacuated(now, j, answers) {
+		reason = ReasonEvacuated
 	}
 	c.refuse(j, reason, after)
 }
--- a/core/cell/settings.go
+++ b/core/cell/settings.go
@@ -27,6 +27,9 @@
 	IdlePollWait   time.Duration // long-poll time at a runner without runs
 	MaxWrites      int           // maximum number of write transactions in flight
 	MaxRow         int           // largest value of a row, in bytes
+
+	// AwaitEvacuations makes the cell start nothing before it has received an Evacuation.
+	AwaitEvacuations bool
 }
 
 // withDefaults returns s with zero values replaced by the defaults.
--- a/core/cell/share_world_test.go
+++ b/core/cell/share_world_test.go
@@ -28,6 +28,11 @@
 func (p *process) Advise(t work.Task, runners []string) {
 	w := p.world
 	askedAt := w.now
+	for _, id := range runners {
+		if r := w.runners[id]; r != nil && p.toldEvacuated[r.zone] {
+			w.recordViolation("EVACUATED %s: advice for %v", id, t)
+		}
+	}
 	w.openQuestions++
 	if w.openQuestions > 1 {
 		w.recordViolation("more than one unanswered question to the adviser")
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -79,7 +79,7 @@
 func (c *Cell) admit(now time.Time, j *job, submission Submission, reply func(Outcome)) bool {
 	reason, after := c.refusalReason(now, j)
 	switch {
-	case reason == ReasonNoRunnerFits && !j.Transient && c.Neighbours != nil:
+	case (reason == ReasonNoRunnerFits || reason == ReasonEvacuated) && !j.Transient && c.Neighbours != nil:
 		c.submitElsewhere(now, j, waiter{submission.Caller, reply})
 		return false
 	case reason != "":
@@ -104,7 +104,7 @@
 	c.jobs[j.ID] = j
 	switch s := c.search(now, j.query()); {
 	case s == nil:
-		c.refuse(j, ReasonNoRunnerFits, retryAfter)
+		c.refuse(j, c.unfitReason(now, j), retryAfter)
 	case s.inFlight:
 		s.waiting = append(s.waiting, j)
 	default:
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -35,6 +35,7 @@
 	loadDelay     time.Duration        // added to the time until a new holder has read the rows
 	refusedWrites []string             // reasons for which the store has refused writes as malformed
 	resumedFrom   map[work.Task]string // checkpoint that the last run of a task started from
+	evacuated     []string             // data centres that the operator has evacuated; nil if holders are not told of them
 	openQuestions int                  // number of unanswered questions to the adviser
 
 	submitted     map[string]*work.Job
@@ -194,6 +195,7 @@
 	w.openQuestions = 0
 	p.cell.WallClock = func() int64 { return w.now.UnixMilli() }
 	w.processes = append(w.processes, p)
+	p.tellEvacuated()
 	p.exec(func() { p.cell.UpdateDirectory(w.now, w.directory()) })
 	w.after(3*w.jitter()+w.loadDelay, func() {
 		jobs, progress := w.store.scan(w.cellName+"/jobs/"), w.store.scan(w.cellName+"/progress/")
@@ -351,6 +353,8 @@
 	runnerSet          fingerprint.Set // as last reported by a heartbeat
 	leaseUntil         time.Time       // as last extended
 	aliveAt            time.Time       // when its last heartbeat was sent
+	toldEvacuated      map[string]bool // data centres that its cell has been told of
+	startsSent         map[string]int  // number of start orders by runner
 	promised           bool            // its standbys promise not to take over
 }
 
@@ -427,6 +431,7 @@
 }
 
 func (p *process) Start(to order.Target, s order.Start) {
+	p.checkEvacuated(to.ID, s)
 	if r := p.world.runners[to.ID]; r != nil && r.startDelay > 0 {
 		p.world.after(r.startDelay, func() { r.start(s) })
 		p.world.after(1500*time.Millisecond, func() { p.exec(func() { p.cell.StartAnswered(p.world.now, to.ID, s, order.Reply{}) }) })
--- a/core/overflow/submitter.go
+++ b/core/overflow/submitter.go
@@ -82,7 +82,7 @@
 		switch o.Reason {
 		case cell.ReasonNoRoom:
 			full = append(full, waitingCell{c, o.RetryAfter})
-		case cell.ReasonNoRunnerFits:
+		case cell.ReasonNoRunnerFits, cell.ReasonEvacuated:
 			tried--
 			refusals = append(refusals, o)
 		default:
@@ -119,16 +119,28 @@
 // unknownWait stands for the wait in a cell that was not asked.
 const unknownWait = time.Duration(math.MaxInt64)
 
-// combine returns the first of the refusals with the shortest of their times. It panics if
-// there are none.
+// combine returns the first of the refusals with the shortest of their times. That of a cell of which
+// the runners are evacuated counts only if no other cell could have run the job, and goes before
+// that of one without such runners. It panics if there are none.
 func combine(refusals []cell.Outcome) cell.Outcome {
 	o := refusals[0]
+	if evacuated := slices.IndexFunc(refusals, func(r cell.Outcome) bool { return r.Reason == cell.ReasonEvacuated }); evacuated >= 0 {
+		o = refusals[evacuated]
+		if able := slices.IndexFunc(refusals, isAble); able >= 0 {
+			o = refusals[able]
+		}
+	}
 	for _, other := range refusals[1:] {
 		o.RetryAfter = min(o.RetryAfter, other.RetryAfter)
 	}
 	return o
 }
 
+// isAble reports whether the cell that has refused a job has runners that could run it.
+func isAble(o cell.Outcome) bool {
+	return o.Reason != cell.ReasonEvacuated && o.Reason != cell.ReasonNoRunnerFits
+}
+
 // byReach returns the cells whose holder can be reached and the others.
 func byReach(cells []Cell) (reachable, unreachable []Cell) {
 	for _, c := range cells {
--- a/core/overflow/submitter_test.go
+++ b/core/overflow/submitter_test.go
@@ -98,6 +98,24 @@
 	require.Empty(t, last.arrived, "enough cells that can run it were asked")
 }
 
+// TestEvacuatedElsewhere guards against a job that is refused since the runners of the first cells are
+// evacuated, though another cell has runners; and against the wrong reason if none has.
+func TestEvacuatedElsewhere(t *testing.T) {
+	t.Parallel()
+	unfit := cell.Outcome{Verdict: cell.Refused, Reason: cell.ReasonNoRunnerFits, RetryAfter: time.Second}
+	evacuated := cell.Outcome{Verdict: cell.Refused, Reason: cell.ReasonEvacuated, RetryAfter: time.Second}
+	cells := []*fakeCell{{outcome: unfit}}
+	for range overflow.MaxCells {
+		cells = append(cells, &fakeCell{outcome: evacuated})
+	}
+	o, _ := submit(context.Background(), &clock{}, append(cells, &fakeCell{outcome: done})...)
+	require.Equal(t, done, o)
+	o, _ = submit(context.Background(), &clock{}, cells...)
+	require.Equal(t, evacuated, o)
+	o, _ = submit(context.Background(), &clock{}, append(cells, &fakeCell{outcome: full})...)
+	require.Equal(t, full, o, "a cell has runners that are not evacuated")
+}
+
 // TestNeverTwice has first cells that accept, fail or may have the job. No other cell may
 // get it.
 func TestNeverTwice(t *testing.T) {
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -21,6 +21,7 @@
 
 	"gypsumward/core/cell"
 	"gypsumward/core/election"
+	"gypsumward/core/evacuation"
 	"gypsumward/core/eventloop"
 	"gypsumward/core/hangup"
 	"gypsumward/core/hlc"
@@ -71,6 +72,7 @@
 	metrics      *metrics
 	clock        monotonic.Clock
 	configs      route.Current
+	evacuations  *evacuation.Zones
 	self         election.Member
 	plan         atomic.Pointer[shard.Plan]
 	cells        atomic.Pointer[[]*participant] // by cell number; nil until the plan is known
@@ -102,6 +104,8 @@
 	for _, c := range []*platform.Client{h.store.Client, h.runnerClient.Client, h.adviser.Client} {
 		c.OnCall = h.metrics.CountCall
 	}
+	h.evacuations = &evacuation.Zones{Clock: h.clock, Log: h.log, Decode: platform.EvacuatedZone, Count: h.metrics.Count}
+	h.metrics.registerEvacuations(h.evacuations)
 	now := time.Now()
 	h.self = election.Member{
 		Node: s.Node, Incarnation: fmt.Sprintf("%s@%d", s.Node, now.UnixNano()), Zone: s.Zone,
@@ -121,7 +125,7 @@
 // bounds returns the bounds of a cell under the current settings.
 func (h *Host) bounds() cell.Settings {
 	s := h.settings.Current()
-	return cell.Settings{Lease: s.Lease, StopGrace: s.StopGrace, EndRetention: s.StatusRetention + retentionSlack, ResubmitAfter: s.Retransmit, MaxRow: s.MaxRow}
+	return cell.Settings{Lease: s.Lease, StopGrace: s.StopGrace, EndRetention: s.StatusRetention + retentionSlack, ResubmitAfter: s.Retransmit, MaxRow: s.MaxRow, AwaitEvacuations: true}
 }
 
 // applyBounds applies changed bounds to all cells that this instance holds.
@@ -300,10 +304,11 @@
 
 // followRows starts reading the rows of the operator and of the runners.
 func (h *Host) followRows(ctx context.Context, wg *sync.WaitGroup) {
-	wait, timeout := mirror.Intervals(h.settings.Current().ConfigApply)
+	settings := h.settings.Current()
+	wait, timeout := mirror.Intervals(min(settings.ConfigApply, settings.Evacuate))
 	configs := &mirror.Mirror{
 		Store: h.store, Prefix: platform.ConfigPrefix, Wait: wait, Timeout: timeout,
-		OnRead: h.readDone(configReads), OnRows: h.applyConfig, OnError: h.readFailed(configReads),
+		OnRead: h.readDone(configReads), OnRows: h.applyOperatorRows, OnError: h.readFailed(configReads),
 	}
 	wg.Go(func() { configs.Run(ctx) })
 	wg.Go(func() { h.roster.Register(ctx) })
@@ -337,9 +342,16 @@
 	}
 }
 
+// applyOperatorRows applies rows of the operator, all of them if whole is true, otherwise those that have
+// changed.
+func (h *Host) applyOperatorRows(rows []table.Row, whole bool) {
+	h.evacuations.Apply(rows, whole)
+	h.applyConfig(rows)
+}
+
 // applyConfig applies a changed configuration among the operator's rows. One that cannot
 // be decoded leaves the current one in force.
-func (h *Host) applyConfig(rows []table.Row, _ bool) {
+func (h *Host) applyConfig(rows []table.Row) {
 	for _, r := range rows {
 		if r.Key != platform.ConfigKey || r.Version == 0 {
 			continue
--- a/gypsumward/hosted/metrics.go
+++ b/gypsumward/hosted/metrics.go
@@ -20,6 +20,9 @@
 	runnerReads = "runners"
 )
 
+// namespace is the first part of the names of all metrics.
+const namespace = "gypsumward"
+
 // metrics holds the metrics of an instance. It implements cell.Metrics.
 type metrics struct {
 	registry  *prometheus.Registry
@@ -34,24 +37,24 @@
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
 		counts: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: "gypsumward", Name: "decisions_total", Help: "Decisions by kind.",
+			Namespace: namespace, Name: "decisions_total", Help: "Decisions by kind.",
 		}, []string{"kind"}),
 		durations: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Namespace: "gypsumward", Name: "took_seconds", Help: "Times by kind.",
+			Namespace: namespace, Name: "took_seconds", Help: "Times by kind.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
 		}, []string{"kind"}),
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: "gypsumward", Name: "calls_total", Help: "Calls to the platform and the runners, and calls of other instances, by name.",
+			Namespace: namespace, Name: "calls_total", Help: "Calls to the platform and the runners, and calls of other instances, by name.",
 		}, []string{"call"}),
 		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: "gypsumward", Name: "call_bytes_total", Help: "Lengths of the bodies of these calls, by name and direction.",
+			Namespace: namespace, Name: "call_bytes_total", Help: "Lengths of the bodies of these calls, by name and direction.",
 		}, []string{"call", "direction"}),
 		lastReads: map[string]*atomic.Int64{},
 	}
 	for _, dependency := range []string{configReads, noticeReads, memberReads, runnerReads} {
 		m.lastReads[dependency] = &atomic.Int64{}
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Namespace: "gypsumward", Name: "read_age_seconds", ConstLabels: prometheus.Labels{"what": dependency},
+			Namespace: namespace, Name: "read_age_seconds", ConstLabels: prometheus.Labels{"what": dependency},
 			Help: "Time since the last successful read of rows of the store; -1 before the first one.",
 		}, func() float64 { return m.ReadAge(dependency) }))
 	}
--- a/gypsumward/hosted/participant.go
+++ b/gypsumward/hosted/participant.go
@@ -80,6 +80,7 @@
 	l := eventloop.New(t, p.name, h.bounds(), h.runnerClient, h.store, h.clock, p.log, h.metrics)
 	l.SetAdviser(h.adviser)
 	l.SetNeighbours(neighbours{p})
+	p.passEvacuations(l)
 	go p.followRunners(l)
 	p.setStandbysFrom(h.clock.Now())
 	go p.publish()
--- a/gypsumward/hosted/standby.go
+++ b/gypsumward/hosted/standby.go
@@ -80,6 +80,7 @@
 			p.update(ctx, now)
 		}
 		h.balance(now)
+		h.evacuations.Check(h.settings.Current().Evacuate, h.cellsHeld() > 0)
 		select {
 		case <-ticker.C:
 		case <-h.wake:
