cell, platform: uses cold runners after warm ones, and learns nothing from them about warm ones

Cause: runners of a data centre that comes back are slow for a time. They counted as fast as before, got tasks first, and their runs made them count as slow once they were warm.

Change: cold_remaining_ms of a runner's row counts down from the first read of the row. Meanwhile a runner has the speed that cold runners of its kind have shown, half the warm one until one has, in admission, placement and the search for stalled runs. It gets tasks after warm runners that would end them in time, and before those that would not. Its runs, finished, stopped or moved, change no estimate of warm runners. An odd value of cold_remaining_ms counts as none, so the runner stays usable. TestDecodeRunner expects the version of the row, which is new in cell.RunnerInfo.

Measured: tests of core/cell and platform under -race, as before the change. With each of 13 checks removed in turn a test fails; the expected time of a run by which its runner is asked for progress is not covered.

--- a/core/cell/admit.go
+++ b/core/cell/admit.go
@@ -160,7 +160,7 @@
 	capacity := 0.0
 	for _, r := range c.sorted {
 		if r.isListed(now) && r.receivesWork() && (r.fenced || !r.synced) {
-			capacity += float64(r.Capacity.CPU) * r.speed.rate()
+			capacity += float64(r.Capacity.CPU) * r.rate(now)
 		}
 	}
 	return packingEfficiency * capacity
--- a/core/cell/directory.go
+++ b/core/cell/directory.go
@@ -52,9 +52,11 @@
 	MachineKind string // kind of machine; runners of one kind are about equally fast
 	Rack        string
 	Labels      []string
-	Draining    bool      // receives no more work
-	Incarnation int64     // start time; identifies the incarnation
-	Capacity    Resources // total resources
+	Draining    bool          // receives no more work
+	Version     int64         // of the entry; differs if it was rewritten
+	ColdFor     time.Duration // for which it stays slower than usual, from the first read of the entry
+	Incarnation int64         // start time; identifies the incarnation
+	Capacity    Resources     // total resources
 }
 
 // Bounds of the time between two reads of the directory.
@@ -124,6 +126,7 @@
 	if kind := c.kindSpeed(entry.Service, entry.MachineKind); r.speed.kind != kind {
 		r.speed = speed{kind: kind}
 	}
+	r.readCold(now, entry)
 	r.RunnerInfo = entry
 	r.evacuated = c.evacuations.zones[entry.Zone]
 	r.inDirectory, r.unlistedAt = true, time.Time{}
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -118,7 +118,8 @@
 }
 
 // chooseRunner returns the runner with the highest score for t, or nil if t fits on none.
-// All else equal that is the slowest runner that would finish t in time, else the fastest.
+// All else equal that is the slowest warm runner that would finish t in time, then the fastest cold one that
+// would, else the fastest.
 func (c *Cell) chooseRunner(now time.Time, t *task, usable []*runner) *runner {
 	required := requirements(t.spec())
 	expected := c.expectedRunTime(t.job, t.step)
@@ -129,7 +130,7 @@
 		if !c.canRun(now, t, r, required) {
 			continue
 		}
-		score := c.score(t, r, required, expected, timeLeft)
+		score := c.score(now, t, r, required, expected, timeLeft)
 		if best == nil || score > bestScore {
 			best, bestScore = r, score
 		}
@@ -145,12 +146,9 @@
 // timeLeft the time until t is due, both in milliseconds. The criteria with the largest
 // weights are, in this order: t was not tried on r, a serving t disturbs no opportunistic
 // task there, and the last run on r did not fail.
-func (c *Cell) score(t *task, r *runner, required Resources, expected, timeLeft float64) float64 {
-	rate := r.speed.rate()
-	score := rate
-	if expected/rate*runTimeMargin <= timeLeft {
-		score = 10 - rate
-	}
+func (c *Cell) score(now time.Time, t *task, r *runner, required Resources, expected, timeLeft float64) float64 {
+	rate := r.rate(now)
+	score := speedScore(rate, expected/rate*runTimeMargin <= timeLeft, r.isCold(now))
 	leftover := r.free().sub(required)
 	score -= float64(leftover.CPU%max(required.CPU, 1)) / float64(max(r.Capacity.CPU, 1)) * 0.5
 	if rack := t.spec().PreferredRack; (rack != "" && slices.Contains(r.Labels, rack)) || (c.preferredRack != "" && r.Rack == c.preferredRack) {
@@ -278,7 +276,7 @@
 	}
 	t.lastRun = max(t.lastRun, t.runFloor) + 1
 	x := &run{key: runKey{t.id(), t.lastRun}, task: t, runner: r, resources: requirements(t.spec()), token: r.token}
-	x.resumed = t.checkpoint.value != ""
+	x.resumed, x.startedCold = t.checkpoint.value != "", r.isCold(now)
 	t.run, t.ready = x, false
 	t.job.readyTasks--
 	r.runs[x.key] = x
@@ -286,7 +284,7 @@
 	c.stopOpportunistic(now, t, r)
 	c.Metrics.Count("starts", 1)
 	c.log("event", "start", "job", t.job.ID, "step", t.step, "task", t.index, "run", t.lastRun, "runner", r.ID, "waited", now.Sub(t.job.arrived),
-		"left", t.job.due.Sub(now), "speed", r.speed.rate(), "free", r.free().CPU, "caller", t.job.firstCaller(), "again", t.job.inherited,
+		"left", t.job.due.Sub(now), "speed", r.rate(now), "cold", x.startedCold, "free", r.free().CPU, "caller", t.job.firstCaller(), "again", t.job.inherited,
 		"lease", r.leaseLeft(now, deadline))
 	c.sendStart(now, x, deadline)
 }
--- a/core/cell/health.go
+++ b/core/cell/health.go
@@ -99,7 +99,7 @@
 
 // recordRunTime records the success of a run that ended as finished, and updates the
 // estimates of its queue and runner. Long-running, opportunistic and resumed runs don't
-// change the estimates.
+// change the estimates, and those on cold runners only that of cold runners.
 func (c *Cell) recordRunTime(now time.Time, x *run, reason order.EndReason) {
 	if x.task == nil || reason != order.Finished || x.startAnswered.IsZero() {
 		return
@@ -110,7 +110,13 @@
 	}
 	elapsed := max(milliseconds(now.Sub(x.startAnswered)), 1)
 	j := x.task.job
-	x.runner.speed.update(c.expectedRunTime(j, x.task.step) / elapsed)
+	c.Metrics.Observe("run", now.Sub(x.startAnswered))
+	ratio := c.expectedRunTime(j, x.task.step) / elapsed
+	if x.wasCold() {
+		c.recordColdRun(now, x, ratio)
+		return
+	}
+	x.runner.speed.update(ratio)
 	q := c.estimates.queues[j.Queue.Name]
 	if q == nil {
 		q = &queueRunTime{}
@@ -118,7 +124,6 @@
 	}
 	q.samples = min(q.samples+1, runTimeWindow)
 	q.mean += (elapsed*x.runner.speed.rate() - q.mean) / q.samples
-	c.Metrics.Observe("run", now.Sub(x.startAnswered))
 }
 
 // A run that takes longer than stragglerFactor times the expected run time plus
@@ -139,7 +144,7 @@
 		return
 	}
 	elapsed := now.Sub(x.startAnswered)
-	rate := max(x.runner.speed.rate(), 1/stragglerFactor) // of a stalled runner it tends to zero
+	rate := max(x.rate(), 1/stragglerFactor) // of a stalled runner it tends to zero
 	expected := fromMilliseconds(c.expectedRunTime(x.task.job, x.task.step) / rate)
 	limit := time.Duration(stragglerFactor*float64(expected)) + stragglerMargin
 	if elapsed < limit {
@@ -155,6 +160,10 @@
 	}
 	x.task.triedRunners = append(x.task.triedRunners, x.runner.ID)
 	x.runner.health.recordFailure(now)
-	x.runner.speed.updateOwn(1 / stragglerFactor)
+	if x.wasCold() {
+		c.recordColdRun(now, x, 1/stragglerFactor)
+	} else {
+		x.runner.speed.updateOwn(1 / stragglerFactor)
+	}
 	c.stop(now, x, "stalled or too slow")
 }
--- a/core/cell/progress.go
+++ b/core/cell/progress.go
@@ -21,7 +21,7 @@
 
 // expectedOn returns the expected time of a run on its runner.
 func (c *Cell) expectedOn(x *run) time.Duration {
-	return fromMilliseconds(c.expectedRunTime(x.task.job, x.task.step) / x.runner.speed.rate())
+	return fromMilliseconds(c.expectedRunTime(x.task.job, x.task.step) / x.rate())
 }
 
 // lookAtRuns asks r for the progress of its runs if that of one is due.
@@ -110,11 +110,13 @@
 	}
 	required := requirements(x.task.spec())
 	other := c.chooseRunner(now, x.task, c.usable(now, required.CPU))
-	if other == nil || other == x.runner || float64(left) < slowFactor*float64(fromMilliseconds(expected))/other.speed.rate() {
+	if other == nil || other == x.runner || float64(left) < slowFactor*float64(fromMilliseconds(expected))/other.rate(now) {
 		return
 	}
 	x.task.triedRunners = append(x.task.triedRunners, x.runner.ID)
-	x.runner.speed.replace(math.Log(expected / milliseconds(total)))
+	if !x.wasCold() {
+		x.runner.speed.replace(math.Log(expected / milliseconds(total)))
+	}
 	c.Metrics.Count("moved_slow", 1)
 	c.stop(now, x, "slower than elsewhere")
 }
--- a/core/cell/run.go
+++ b/core/cell/run.go
@@ -34,6 +34,7 @@
 	endBy          time.Time // when it must have ended, since its job may start in another cell from then on; zero if it may go on
 	orphan         bool      // its resources are not known; the runner counts as full
 	resumed        bool      // started from a checkpoint
+	startedCold    bool      // started while the runner was cold
 	lookAt         time.Time // when the runner is next asked for the progress of the run
 }
 
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -31,6 +31,8 @@
 	inDirectory     bool
 	unlistedAt      time.Time // when the directory was first read without it; zero if it is in the directory
 	evacuated       bool      // its data centre is evacuated
+	coldRead        bool      // an entry of the directory has said whether it is cold
+	coldUntil       time.Time // until when it is cold
 	handedOver      bool      // the previous holder may have runs on it
 	memberSince     int       // number of the first set of runners that it is in; zero if it is not in the last
 	incarnation     int64     // start time of the runner; zero if not known
--- a/core/cell/runner_world_test.go
+++ b/core/cell/runner_world_test.go
@@ -27,6 +27,8 @@
 	kind         string
 	rack         string
 	zone         string
+	coldUntil    time.Time // until when it is cold
+	coldSlowdown float64   // factor by which runs take longer that are started while it is cold
 	label        string
 	inDirectory  bool
 	draining     bool // as stated in its directory entry
@@ -116,8 +118,9 @@
 
 // directoryEntry returns the directory entry of the current incarnation.
 func (r *simRunner) directoryEntry() cell.RunnerInfo {
+	coldFor := max(r.coldUntil.Sub(r.world.now), 0)
 	return cell.RunnerInfo{
-		ID: r.id, Addr: r.id, Service: "s", MachineKind: r.kind, Zone: r.zone, Rack: r.rack, Incarnation: r.startTime, Labels: []string{"a", r.rack, r.label}, Draining: r.draining,
+		ID: r.id, Addr: r.id, Service: "s", MachineKind: r.kind, Zone: r.zone, ColdFor: coldFor, Rack: r.rack, Incarnation: r.startTime, Labels: []string{"a", r.rack, r.label}, Draining: r.draining,
 		Capacity: cell.Resources{CPU: r.cpu, Memory: 1 << 20},
 	}
 }
@@ -194,6 +197,9 @@
 	if factor, found := w.realTimes[s.Task.Job]; found {
 		duration = time.Duration(factor * r.slowdown * float64(time.Duration(step.Estimate)*time.Millisecond))
 	}
+	if w.now.Before(r.coldUntil) {
+		duration = time.Duration(float64(duration) * r.coldSlowdown)
+	}
 	if step.Opportunistic {
 		step.CPU = 0
 	}
--- a/core/cell/speed.go
+++ b/core/cell/speed.go
@@ -26,6 +26,7 @@
 type kindSpeed struct {
 	meanLog float64
 	samples float64
+	cold    coldSpeed
 }
 
 // rate returns the estimated speed; 1 is as fast as expected.
