cell, eventloop, hosted: evacuations in the randomised tests, the log and the metrics

Cause: what happens when evacuations meet faults, moves, reserves or each other was not tested, and they could be seen in one log line only.

Change: the simulated world draws evacuations, and cold runners after them, into TestAnyFaults, TestAnyMoves and TestReserveWithHolderCutOff, as the last draws, and into the new TestAnyEvacuations. It checks that no order and no request for advice goes to a runner of whose evacuation the cell has been told, that what ran goes on, and that no refused job runs. Tests of the defined outcomes. Gauges of evacuated data centres, their runners and capacity, cold runners and rows that are read too late; the counter starts_held_back. reload applies bounds.evacuate_ms at once: its TestAllFields failed since the setting is read. An instance that does not know the evacuated data centres claims cells last.

--- a/core/cell/cells_world_test.go
+++ b/core/cell/cells_world_test.go
@@ -25,7 +25,7 @@
 		for i := range runners {
 			id := fmt.Sprintf("%s-r%d", w.cellName, i)
 			w.runners[id] = newSimRunner(w, id, 32000)
-			w.runners[id].label = w.cellName
+			w.runners[id].label, w.runners[id].zone = w.cellName, w.cellName
 		}
 		list = append(list, w)
 	}
--- a/core/cell/cold.go
+++ b/core/cell/cold.go
@@ -54,6 +54,17 @@
 // isCold reports whether r is cold at now.
 func (r *runner) isCold(now time.Time) bool { return now.Before(r.coldUntil) }
 
+// ColdRunners returns the number of runners in the directory that are cold at now.
+func (c *Cell) ColdRunners(now time.Time) int {
+	n := 0
+	for _, r := range c.sorted {
+		if r.isCold(now) && r.isListed(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // coldRate returns the estimated speed of r while it is cold.
 func (r *runner) coldRate() float64 {
 	if r.speed.kind == nil {
--- a/core/cell/evacuate.go
+++ b/core/cell/evacuate.go
@@ -19,7 +19,8 @@
 type evacuations struct {
 	known     bool // some set of them has been told, possibly an empty one
 	zones     map[string]bool
-	refusedAt time.Time // when the waiting jobs were last looked through, see refuseEvacuated
+	checkedAt time.Time       // when the waiting jobs were last looked through
+	heldBack  map[string]bool // waiting jobs that an evacuated runner has room for, by id
 }
 
 // setEvacuated replaces the set of evacuated data centres.
@@ -42,7 +43,7 @@
 			c.evacuateZone(now, zone, false)
 		}
 	}
-	c.refuseEvacuated(now)
+	c.checkWaiting(now)
 	c.schedulePass()
 }
 
@@ -124,17 +125,13 @@
 	return fitsTogether(j, c.fitsBesideEvacuations(now, j.Steps, j.Queue.Service), answers)
 }
 
-// refuseInterval is the time between two looks for waiting jobs that an evacuation leaves without
-// runners after it has begun, for example since the last other runner is gone.
-const refuseInterval = 100 * time.Millisecond
+// checkInterval is the time between two looks for waiting jobs that an evacuation holds back, or leaves
+// without runners, for example since the last other runner is gone.
+const checkInterval = 100 * time.Millisecond
 
 // refuseEvacuated refuses the waiting transient jobs that evacuations leave without runners, so that
 // they are submitted to another cell, unless some of their tasks may have run.
 func (c *Cell) refuseEvacuated(now time.Time) {
-	if !c.loaded || len(c.evacuations.zones) == 0 {
-		return
-	}
-	c.evacuations.refusedAt = now
 	for _, j := range slices.Clone(c.ready) {
 		if !j.Transient || j.inherited || j.hasStarted() || c.fitsIdleRunners(now, j) || c.unfitReason(now, j) != ReasonEvacuated || c.HasRun(j.ID) {
 			continue
@@ -146,7 +143,52 @@
 
 // maintainEvacuations does the work that evacuations make due by now.
 func (c *Cell) maintainEvacuations(now time.Time) {
-	if now.Sub(c.evacuations.refusedAt) >= refuseInterval {
-		c.refuseEvacuated(now)
+	if len(c.evacuations.zones) > 0 && now.Sub(c.evacuations.checkedAt) >= checkInterval {
+		c.checkWaiting(now)
+	}
+}
+
+// checkWaiting refuses or counts the waiting jobs that evacuations keep from starting.
+func (c *Cell) checkWaiting(now time.Time) {
+	if !c.loaded || len(c.evacuations.zones) == 0 {
+		c.evacuations.heldBack = nil
+		return
+	}
+	c.evacuations.checkedAt = now
+	c.refuseEvacuated(now)
+	c.countHeldBack(now)
+}
+
+// countHeldBack counts the waiting jobs with tasks that an evacuated runner has room for, each once until
+// it waits no more.
+func (c *Cell) countHeldBack(now time.Time) {
+	var idle []*runner
+	for _, r := range c.sorted {
+		if r.evacuated && r.stays() && r.fenced && r.isListed(now) {
+			idle = append(idle, r)
+		}
+	}
+	former := c.evacuations.heldBack
+	c.evacuations.heldBack = map[string]bool{}
+	for _, j := range c.ready {
+		if !slices.ContainsFunc(idle, func(r *runner) bool { return r.Service == j.Queue.Service && r.free().fits(j.leastRequired) }) {
+			continue
+		}
+		c.evacuations.heldBack[j.ID] = true
+		if !former[j.ID] {
+			c.Metrics.Count("starts_held_back", j.readyTasks)
+		}
+	}
+}
+
+// EvacuatedRunners returns the number of runners that get no work since their data centre is evacuated,
+// and their capacity in thousandths of a core.
+func (c *Cell) EvacuatedRunners(now time.Time) (runners, cpu int) {
+	for _, r := range c.sorted {
+		if r.evacuated && r.stays() && r.isListed(now) {
+			runners++
+			cpu += r.Capacity.CPU
+		}
 	}
+	return runners, cpu
 }
--- a/core/cell/move_test.go
+++ b/core/cell/move_test.go
@@ -216,6 +216,11 @@
 			fault := rapid.SampledFrom(moveFaults).Draw(t, "fault")
 			w.after(at, func() { fault.fault(w) })
 		}
+		for _, evacuate := range drawEvacuations(t, 5*time.Second, "c0", "c1", "c2") {
+			for _, w := range l {
+				evacuate(w)
+			}
+		}
 		l.run(10 * time.Second)
 		for _, w := range l {
 			w.heal()
--- a/core/cell/property_test.go
+++ b/core/cell/property_test.go
@@ -17,6 +17,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(4, 8).Draw(t, "runners"), 32000)
 		w.endsPerReply = rapid.SampledFrom([]int{2, 10, 500}).Draw(t, "ends")
+		w.setZones("a", "b")
 		w.takeOver()
 		var lasting *work.Job
 		if rapid.Bool().Draw(t, "lasting") {
@@ -28,6 +29,9 @@
 			at := time.Duration(rapid.IntRange(0, 8000).Draw(t, "at")) * time.Millisecond
 			w.after(at, func() { scenario.fault(w) })
 		}
+		for _, evacuate := range drawEvacuations(t, 8*time.Second, "a", "b") {
+			evacuate(w)
+		}
 		w.run(15 * time.Second)
 		w.heal()
 		w.run(60 * time.Second)
@@ -38,3 +42,25 @@
 		checkSettled(t, w)
 	})
 }
+
+// TestAnyEvacuations draws evacuations under a load without faults: what runs goes on, nothing is started
+// in a data centre that is evacuated, and all jobs end afterwards.
+func TestAnyEvacuations(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 9).Draw(t, "runners"), 32000)
+		w.runsGoOn = true
+		w.setZones("a", "b", "c")
+		w.takeOver()
+		lasting := submitLasting(w)
+		load(w, rapid.IntRange(10, 80).Draw(t, "jobs"), 6*time.Second)
+		for _, evacuate := range drawEvacuations(t, 8*time.Second, "a", "b", "c") {
+			evacuate(w)
+		}
+		w.run(40 * time.Second)
+		require.Empty(t, w.violations)
+		w.runsGoOn = false
+		checkLasting(t, w, lasting)
+		checkSettled(t, w)
+	})
+}
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -11,7 +11,7 @@
 		return
 	}
 	c.lastReport = now
-	var inDirectory, usable, backingOff, failing, unfenced, leaving, runs, capacity, used, orphans int
+	var inDirectory, usable, backingOff, failing, unfenced, leaving, evacuated, runs, capacity, used, orphans int
 	for _, r := range c.sorted {
 		runs += len(r.runs)
 		orphans += r.orphans
@@ -26,6 +26,8 @@
 		switch {
 		case r.Draining:
 			leaving++
+		case r.evacuated:
+			evacuated++
 		case !r.fenced:
 			unfenced++
 		case r.health.isBackingOff(now):
@@ -45,5 +47,5 @@
 	}
 	c.log("event", "load", "jobs", len(c.jobs), "waiting", len(c.ready), "tasks", tasks, "runs", runs, "strays", orphans,
 		"listed", inDirectory, "usable", usable, "resting", backingOff, "charged", failing, "unfenced", unfenced, "leaving", leaving,
-		"cpu", capacity, "used", used, "backlog", c.backlog(now), "safe", c.takenOver, "start", c.mayStart(now))
+		"evacuated", evacuated, "cold", c.ColdRunners(now), "cpu", capacity, "used", used, "backlog", c.backlog(now), "safe", c.takenOver, "start", c.mayStart(now))
 }
--- a/core/cell/reserve_test.go
+++ b/core/cell/reserve_test.go
@@ -39,6 +39,7 @@
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), 6, 32000)
+		w.setZones("a", "b")
 		w.takeOver()
 		w.run(time.Second)
 		n := 0
@@ -81,6 +82,9 @@
 		for range rapid.IntRange(0, 10).Draw(t, "outside") {
 			add(w.holder, takeover+time.Duration(rapid.IntRange(0, 4000).Draw(t, "at"))*time.Millisecond, rapid.Bool().Draw(t, "transient"))
 		}
+		for _, evacuate := range drawEvacuations(t, takeover+5*time.Second, "a", "b") {
+			evacuate(w)
+		}
 		w.run(takeover + time.Duration(rapid.IntRange(500, 9000).Draw(t, "cut"))*time.Millisecond)
 		w.faults.delayedOrder = 0
 		former.depose()
--- a/core/cell/runner_world_test.go
+++ b/core/cell/runner_world_test.go
@@ -65,6 +65,7 @@
 	startedAt  time.Time
 	duration   time.Duration
 	stalled    bool // makes no progress
+	evacuated  bool // was there when its data centre was evacuated
 	checkpoint string
 }
 
@@ -249,6 +250,9 @@
 		w.recordViolation("UNASKED %v", s.Task)
 		return
 	}
+	if w.outcomes[s.Task.Job].Verdict == cell.Refused {
+		w.recordViolation("REFUSED %v starts", s.Task)
+	}
 	used := 0
 	if !j.Steps[s.Task.Step].Opportunistic {
 		used = j.Steps[s.Task.Step].CPU
@@ -318,6 +322,7 @@
 		return
 	}
 	delete(r.runs, t)
+	r.checkGoesOn(t, x, reason)
 	if reason == order.Finished {
 		r.world.finished[t] = true
 	}
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -36,6 +36,7 @@
 	refusedWrites []string             // reasons for which the store has refused writes as malformed
 	resumedFrom   map[work.Task]string // checkpoint that the last run of a task started from
 	evacuated     []string             // data centres that the operator has evacuated; nil if holders are not told of them
+	runsGoOn      bool                 // there are no faults that end the runs that are there when an evacuation begins
 	openQuestions int                  // number of unanswered questions to the adviser
 
 	submitted     map[string]*work.Job
@@ -297,6 +298,7 @@
 		if o.Verdict == cell.Accepted || (o.Verdict == cell.Refused && !resubmitted) {
 			w.callerWaits[j.ID] = false
 			w.outcomes[j.ID] = o
+			w.checkRefusal(j, o)
 			if o.Verdict == cell.Accepted && w.chance(w.faults.resubmission) {
 				w.after(time.Duration(w.rng.Int64N(int64(3*time.Second))), func() { w.resubmit(j) })
 			}
--- a/core/eventloop/loop.go
+++ b/core/eventloop/loop.go
@@ -79,6 +79,9 @@
 	runnerSet        atomic.Uint64 // fingerprint of the runners that may have runs
 	answeringRunners atomic.Int64  // runners in the directory that answer
 	listedRunners    atomic.Int64  // runners in the directory
+	evacuatedRunners atomic.Int64  // runners that get no work since their data centre is evacuated
+	evacuatedCPU     atomic.Int64  // their capacity in thousandths of a core
+	coldRunners      atomic.Int64  // runners that are slower than usual for a time
 	idle             atomic.Bool
 	failed           atomic.Bool
 	lastTick         time.Time
@@ -184,6 +187,10 @@
 	l.answeringRunners.Store(int64(answering))
 	l.listedRunners.Store(int64(listed))
 	l.overload.RecordLatency(l.cell.OrderLatency())
+	evacuated, cpu := l.cell.EvacuatedRunners(l.Clock.Now())
+	l.evacuatedRunners.Store(int64(evacuated))
+	l.evacuatedCPU.Store(int64(cpu))
+	l.coldRunners.Store(int64(l.cell.ColdRunners(l.Clock.Now())))
 }
 
 // Post queues a message for the cell, waiting for space if the queue is full. It returns
@@ -210,6 +217,15 @@
 	return int(l.answeringRunners.Load()), int(l.listedRunners.Load())
 }
 
+// EvacuatedRunners returns the number of runners that get no work since their data centre is evacuated, and
+// their capacity in thousandths of a core.
+func (l *Loop) EvacuatedRunners() (runners, cpu int) {
+	return int(l.evacuatedRunners.Load()), int(l.evacuatedCPU.Load())
+}
+
+// ColdRunners returns the number of runners that are slower than usual for a time.
+func (l *Loop) ColdRunners() int { return int(l.coldRunners.Load()) }
+
 // Done returns a channel that is closed when the term is over.
 func (l *Loop) Done() <-chan struct{} { return l.done }
 
--- a/gypsumward/hosted/evacuations.go
+++ b/gypsumward/hosted/evacuations.go
@@ -4,7 +4,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"gypsumward/core/cell"
-	"gypsumward/core/evacuation"
 	"gypsumward/core/eventloop"
 )
 
@@ -14,19 +13,33 @@
 	p.host.evacuations.Follow(l.Done(), func(zones []string) { l.Post(cell.Evacuation{Zones: zones}) })
 }
 
-// registerEvacuations registers the gauges of the evacuated data centres.
-func (m *metrics) registerEvacuations(z *evacuation.Zones) {
-	gauge := func(name, help string, value func() float64) {
-		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value))
+// registerEvacuations registers the gauges of the evacuated data centres, and of the runners of the cells
+// that this instance holds.
+func (h *Host) registerEvacuations() {
+	gauge := func(name, help string, value func() int) {
+		h.metrics.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help},
+			func() float64 { return float64(value()) }))
 	}
-	gauge("evacuated_zones", "Data centres that the operator has evacuated, as last read.", func() float64 {
-		state, _ := z.Current()
-		return float64(len(state.Zones))
+	sum := func(of func(l *eventloop.Loop) int) func() int {
+		return func() int {
+			n := 0
+			h.eachLoop(func(_ *participant, l *eventloop.Loop) { n += of(l) })
+			return n
+		}
+	}
+	gauge("evacuated_zones", "Data centres that the operator has evacuated, as last read.", func() int {
+		state, _ := h.evacuations.Current()
+		return len(state.Zones)
 	})
-	gauge("operator_rows_overdue", "1 if this process holds a cell and has not read the operator's rows within the bound of the settings.", func() float64 {
-		if z.Overdue() {
+	gauge("operator_rows_overdue", "1 if this process holds a cell and has not read the operator's rows within the bound of the settings.", func() int {
+		if h.evacuations.Overdue() {
 			return 1
 		}
 		return 0
 	})
+	gauge("evacuated_runners", "Runners of the cells held here that get no work since their data centre is evacuated.",
+		sum(func(l *eventloop.Loop) int { n, _ := l.EvacuatedRunners(); return n }))
+	gauge("evacuated_millicores", "Capacity of these runners in thousandths of a core.",
+		sum(func(l *eventloop.Loop) int { _, cpu := l.EvacuatedRunners(); return cpu }))
+	gauge("cold_runners", "Runners of the cells held here that are slower than usual for a time.", sum((*eventloop.Loop).ColdRunners))
 }
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -105,7 +105,7 @@
 		c.OnCall = h.metrics.CountCall
 	}
 	h.evacuations = &evacuation.Zones{Clock: h.clock, Log: h.log, Decode: platform.EvacuatedZone, Count: h.metrics.Count}
-	h.metrics.registerEvacuations(h.evacuations)
+	h.registerEvacuations()
 	now := time.Now()
 	h.self = election.Member{
 		Node: s.Node, Incarnation: fmt.Sprintf("%s@%d", s.Node, now.UnixNano()), Zone: s.Zone,
--- a/gypsumward/hosted/participant.go
+++ b/gypsumward/hosted/participant.go
@@ -121,8 +121,12 @@
 	}
 }
 
-// claimDelay returns the delay before this instance claims a cell.
+// claimDelay returns the delay before this instance claims a cell. One that does not know the evacuated data
+// centres claims last.
 func (h *Host) claimDelay() time.Duration {
+	if state, _ := h.evacuations.Current(); !state.Known {
+		return maxDelay // it could start nothing
+	}
 	d := time.Duration(h.cellsHeld())*delayPerCell + time.Duration(float64(singleCoreDelay)/h.self.Cores)
 	return min(d, maxDelay)
 }
--- a/gypsumward/reload/follower.go
+++ b/gypsumward/reload/follower.go
@@ -84,7 +84,7 @@
 	applied, restart := changes(&f.current, next)
 	_ = f.Log.Log("event", "reload", "asked", signalled, "applied", strings.Join(applied, ","), "later", strings.Join(restart, ","))
 	f.current.Lease, f.current.StopGrace, f.current.ShutdownGrace, f.current.StatusRetention = next.Lease, next.StopGrace, next.ShutdownGrace, next.StatusRetention
-	f.current.Drain, f.current.MaxRow = next.Drain, next.MaxRow
+	f.current.Drain, f.current.Evacuate, f.current.MaxRow = next.Drain, next.Evacuate, next.MaxRow
 	return len(applied) > 0
 }
 
@@ -101,6 +101,7 @@
 		{"grace", current.ShutdownGrace != next.ShutdownGrace, true},
 		{"status", current.StatusRetention != next.StatusRetention, true},
 		{"drain", current.Drain != next.Drain, true},
+		{"evacuate", current.Evacuate != next.Evacuate, true},
 		{"row", current.MaxRow != next.MaxRow, true},
 		{"retransmit", current.Retransmit != next.Retransmit, false},
 		{"apply", current.ConfigApply != next.ConfigApply, false},
