Merge evacuation of a data centre

A data centre that the operator evacuates gets no new work, what runs there goes on, and stored and transient jobs go to other cells; cold runners come after warm ones when it is taken back.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -99,6 +99,7 @@
 	takenOver      bool         // no unaccounted run of a stored job by a former holder can be left
 	former         []formerTerm // those that may have left runs, the previous one last
 	sets           runnerSets
+	evacuations    evacuations
 	deposed        bool
 	passPending    bool      // RunPass has work to do
 	draining       bool      // sends no more start orders
@@ -249,7 +250,7 @@
 
 // mayStart reports whether start orders may be sent at now.
 func (c *Cell) mayStart(now time.Time) bool {
-	return c.loaded && !c.deposed && !c.draining && now.Before(c.leaseUntil)
+	return c.loaded && !c.deposed && !c.draining && now.Before(c.leaseUntil) && c.knowsEvacuations()
 }
 
 // Tick does the work that is due by time at now. It is to be called periodically.
@@ -267,6 +268,7 @@
 	}
 	c.stopBrokenGangs(now)
 	c.stopStalledRuns(now)
+	c.maintainEvacuations(now)
 	c.moveWaiting(now)
 	c.passMovedOn(now)
 	c.reportEnds(now)
--- a/core/cell/former.go
+++ b/core/cell/former.go
@@ -113,17 +113,9 @@
 	if !c.loaded || c.accounted() {
 		return
 	}
-	synced := 0
-	allSynced := true
-	for _, r := range c.sorted {
-		if r.synced {
-			synced++
-		} else if r.isListed(now) || r.handedOver {
-			allSynced = false
-		}
-		if c.mayHideEnds(now, r) {
-			return
-		}
+	synced, allSynced, endsHidden := c.syncState(now)
+	if endsHidden {
+		return
 	}
 	listed := c.directorySet()
 	known, lapsed := true, true // lapsed: the leases of stored jobs, in all terms that are left
@@ -142,6 +134,22 @@
 	c.log("event", "inherited", "runners", synced, "all", allSynced, "known", known, "terms", len(c.former), "jobs", len(c.jobs))
 }
 
+// syncState returns the number of runners that have listed all runs and ends under a token of this holder,
+// whether all have on which a former holder may have left something, as far as they are known, and whether
+// one may have ended tasks without this holder knowing.
+func (c *Cell) syncState(now time.Time) (synced int, all, endsHidden bool) {
+	all = true
+	for _, r := range c.sorted {
+		if r.synced {
+			synced++
+		} else if r.isListed(now) || r.handedOver {
+			all = false
+		}
+		endsHidden = endsHidden || c.mayHideEnds(now, r)
+	}
+	return synced, all, endsHidden
+}
+
 // mayHideEnds reports whether r may have ended tasks without this holder knowing, since it has more
 // ends than it can list and its leases go on.
 func (c *Cell) mayHideEnds(now time.Time, r *runner) bool {
--- a/core/cell/hung.go
+++ b/core/cell/hung.go
@@ -26,6 +26,9 @@
 	rate := 1.0
 	if kind := x.runner.speed.kind; kind != nil {
 		rate = math.Exp(kind.meanLog)
+		if x.wasCold() {
+			rate *= kind.cold.factor()
+		}
 	}
 	expected := fromMilliseconds(c.expectedRunTime(x.task.job, x.task.step) / rate)
 	return x.percentAt.Sub(x.startAnswered) >= time.Duration(hungFactor*float64(expected))+hungMargin
--- a/core/cell/run.go
+++ b/core/cell/run.go
@@ -34,6 +34,7 @@
 	endBy          time.Time // when it must have ended, since its job may start in another cell from then on; zero if it may go on
 	orphan         bool      // its resources are not known; the runner counts as full
 	resumed        bool      // started from a checkpoint
+	startedCold    bool      // started while the runner was cold
 	lookAt         time.Time // when the runner is next asked for the progress of the run
 }
 
@@ -93,7 +94,7 @@
 // can be granted or nothing is to be started any more.
 func (c *Cell) resend(now time.Time, x *run) bool {
 	deadline := c.orderDeadline(now, x.runner)
-	if x.task == nil || !x.stopSent.IsZero() || deadline == 0 || !c.mayStart(now) || (!x.task.job.Transient && !now.Before(c.storedUntil)) {
+	if x.task == nil || !x.stopSent.IsZero() || deadline == 0 || x.runner.evacuated || !c.mayStart(now) || (!x.task.job.Transient && !now.Before(c.storedUntil)) {
 		return false
 	}
 	x.resent = true
--- a/core/cell/runner_world_test.go
+++ b/core/cell/runner_world_test.go
@@ -26,6 +26,9 @@
 	cpu          int
 	kind         string
 	rack         string
+	zone         string
+	coldUntil    time.Time // until when it is cold
+	coldSlowdown float64   // factor by which runs take longer that are started while it is cold
 	label        string
 	inDirectory  bool
 	draining     bool // as stated in its directory entry
@@ -64,6 +67,7 @@
 	startedAt  time.Time
 	duration   time.Duration
 	stalled    bool // makes no progress
+	evacuated  bool // was there when its data centre was evacuated
 	checkpoint string
 }
 
@@ -117,8 +121,9 @@
 
 // directoryEntry returns the directory entry of the current incarnation.
 func (r *simRunner) directoryEntry() cell.RunnerInfo {
+	coldFor := max(r.coldUntil.Sub(r.world.now), 0)
 	return cell.RunnerInfo{
-		ID: r.id, Addr: r.id, Service: "s", MachineKind: r.kind, Rack: r.rack, Incarnation: r.startTime, Labels: []string{"a", r.rack, r.label}, Draining: r.draining,
+		ID: r.id, Addr: r.id, Service: "s", MachineKind: r.kind, Zone: r.zone, ColdFor: coldFor, Rack: r.rack, Incarnation: r.startTime, Labels: []string{"a", r.rack, r.label}, Draining: r.draining,
 		Capacity: cell.Resources{CPU: r.cpu, Memory: 1 << 20},
 	}
 }
@@ -195,6 +200,9 @@
 	if factor, found := w.realTimes[s.Task.Job]; found {
 		duration = time.Duration(factor * r.slowdown * float64(time.Duration(step.Estimate)*time.Millisecond))
 	}
+	if w.now.Before(r.coldUntil) {
+		duration = time.Duration(float64(duration) * r.coldSlowdown)
+	}
 	if step.Opportunistic {
 		step.CPU = 0
 	}
@@ -244,6 +252,9 @@
 		w.recordViolation("UNASKED %v", s.Task)
 		return
 	}
+	if w.outcomes[s.Task.Job].Verdict == cell.Refused {
+		w.recordViolation("REFUSED %v starts", s.Task)
+	}
 	used := 0
 	if !j.Steps[s.Task.Step].Opportunistic {
 		used = j.Steps[s.Task.Step].CPU
@@ -313,6 +324,7 @@
 		return
 	}
 	delete(r.runs, t)
+	r.checkGoesOn(t, x, reason)
 	if reason == order.Finished {
 		r.world.finished[t] = true
 	}
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -36,6 +36,8 @@
 	refusedWrites []string             // reasons for which the store has refused writes as malformed
 	resumedFrom   map[work.Task]string // checkpoint that the last run of a task started from
 	rushAttempts  int                  // max attempts of the jobs of a rush
+	evacuated     []string             // data centres that the operator has evacuated; nil if holders are not told of them
+	runsGoOn      bool                 // there are no faults that end the runs that are there when an evacuation begins
 	openQuestions int                  // number of unanswered questions to the adviser
 
 	submitted     map[string]*work.Job
@@ -196,6 +198,7 @@
 	w.openQuestions = 0
 	p.cell.WallClock = func() int64 { return w.now.UnixMilli() }
 	w.processes = append(w.processes, p)
+	p.tellEvacuated()
 	p.exec(func() { p.cell.UpdateDirectory(w.now, w.directory()) })
 	w.after(3*w.jitter()+w.loadDelay, func() {
 		jobs, progress := w.store.scan(w.cellName+"/jobs/"), w.store.scan(w.cellName+"/progress/")
@@ -316,6 +319,7 @@
 		if o.Verdict == cell.Accepted || (o.Verdict == cell.Refused && !resubmitted) {
 			w.callerWaits[j.ID] = false
 			w.outcomes[j.ID] = o
+			w.checkRefusal(j, o)
 			if o.Verdict == cell.Accepted && w.chance(w.faults.resubmission) {
 				w.after(time.Duration(w.rng.Int64N(int64(3*time.Second))), func() { w.resubmit(j) })
 			}
@@ -374,6 +378,8 @@
 	aliveAt            time.Time          // when its last heartbeat was sent
 	promised           bool               // its standbys promise not to take over
 	earlier            []cell.EarlierTerm // terms before, as in its row
+	toldEvacuated      map[string]bool    // data centres that its cell has been told of
+	startsSent         map[string]int     // number of start orders by runner
 }
 
 // exec runs do and a pass of the cell in the goroutine of the holder. It does nothing
@@ -449,6 +455,7 @@
 }
 
 func (p *process) Start(to order.Target, s order.Start) {
+	p.checkEvacuated(to.ID, s)
 	if r := p.world.runners[to.ID]; r != nil && r.startDelay > 0 {
 		p.world.after(r.startDelay, func() { r.start(s) })
 		p.world.after(1500*time.Millisecond, func() { p.exec(func() { p.cell.StartAnswered(p.world.now, to.ID, s, order.Reply{}) }) })
--- a/gypsumward/hosted/participant.go
+++ b/gypsumward/hosted/participant.go
@@ -80,6 +80,7 @@
 	l := eventloop.New(t, p.name, h.bounds(), h.runnerClient, h.store, h.clock, p.log, h.metrics)
 	l.SetAdviser(h.adviser)
 	l.SetNeighbours(neighbours{p})
+	p.passEvacuations(l)
 	go p.followRunners(l)
 	p.setStandbysFrom(h.clock.Now())
 	go p.publish()
@@ -120,8 +121,12 @@
 	}
 }
 
-// claimDelay returns the delay before this instance claims a cell.
+// claimDelay returns the delay before this instance claims a cell. One that does not know the evacuated data
+// centres claims last.
 func (h *Host) claimDelay() time.Duration {
+	if state, _ := h.evacuations.Current(); !state.Known {
+		return maxDelay // it could start nothing
+	}
 	d := time.Duration(h.cellsHeld())*delayPerCell + time.Duration(float64(singleCoreDelay)/h.self.Cores)
 	return min(d, maxDelay)
 }
