cell: tasks of an occurrence are made as it comes due

Cause: a holder made all tasks of all occurrences of a scheduled job when it accepted or loaded it. 1,100 jobs of 4,000 tasks took 747 MB, over the 284 MB of the machine, and each next holder loaded the same rows.

Change: a job keeps the tasks of its open occurrences only. An occurrence is opened when it is due, or when progress, a run or an end of one of its tasks is known, and closed once it has ended, no run of it can be alive and the rows hold its end. The rows keep their format; those of closed occurrences are written from the set of ended ones. Ends and runs of a closed occurrence are acknowledged and stopped. Settings.MaxJobMemory bounds the estimated memory of the jobs: beyond it submissions are refused with the reason memory, and occurrences that are due at once wait for others. Zero means no bound.

Not covered yet: the memory bound.

--- a/core/cell/admit.go
+++ b/core/cell/admit.go
@@ -30,6 +30,8 @@
 	switch {
 	case !j.Transient && (c.storeDown(now) || !now.Before(c.storedUntil)):
 		return ReasonStore, retryAfter
+	case !c.hasMemory(j.memory()):
+		return ReasonMemory, max(fromMilliseconds(c.backlog(now)), memoryRetryAfter)
 	case !c.fitsIdleRunners(now, j):
 		return ReasonNoRunnerFits, retryAfter
 	}
@@ -130,14 +132,14 @@
 // of a core times milliseconds at speed one. Long-running ones do not count.
 func (c *Cell) waitingWork(j *job) float64 {
 	work := 0.0
-	for s := range j.tasks {
-		tasks := 0
-		for _, t := range j.tasks[s] {
+	for s, tasks := range j.steps() {
+		ready := 0
+		for _, t := range tasks {
 			if t.ready {
-				tasks++
+				ready++
 			}
 		}
-		work += c.stepWork(j, s, tasks)
+		work += c.stepWork(j, s, ready)
 	}
 	return work
 }
--- a/core/cell/advice.go
+++ b/core/cell/advice.go
@@ -73,7 +73,7 @@
 	}
 	a := j.adviceFor(step)
 	wanted := 0
-	for _, t := range j.tasks[step] {
+	for _, t := range j.tasksOf(step) {
 		if t.ready {
 			wanted++
 		}
@@ -98,7 +98,7 @@
 	}
 	c.adviceInFlight = true
 	c.Metrics.Count("advice", 1)
-	c.Adviser.Advise(j.tasks[step][0].id(), candidates)
+	c.Adviser.Advise(j.tasksOf(step)[0].id(), candidates)
 }
 
 // AdviceAnswered processes the adviser's reply v to a request for the step of t, sent at
@@ -115,9 +115,15 @@
 	if j == nil {
 		return
 	}
-	a := j.adviceFor(j.task(t).step)
 	if !v.Replied {
 		c.nextAdvice = now.Add(adviceBackoff)
+	}
+	step := j.stepOf(t)
+	if step < 0 || j.tasksOf(step) == nil {
+		return // the occurrence has ended meanwhile
+	}
+	a := j.adviceFor(step)
+	if !v.Replied {
 		for _, id := range runners {
 			delete(a.askedIncarnations, id)
 		}
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -86,6 +86,9 @@
 	movesAt       time.Time       // earliest time of the next look for jobs to pass on
 	reportAt      time.Time       // earliest time of the next report of ends to other cells
 
+	jobMemory int // estimated memory of jobs, in bytes
+	heldBack  int // number of jobs with an occurrence that is due and waits for memory
+
 	adviceInFlight bool      // a request to the adviser is in flight
 	nextAdvice     time.Time // earliest time of the next request
 
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -65,8 +65,8 @@
 // startTasks starts the tasks of j that fit. It reports whether it started any.
 func (c *Cell) startTasks(now time.Time, j *job, usable []*runner) bool {
 	started := false
-	for s := range j.tasks {
-		if !slices.ContainsFunc(j.tasks[s], func(t *task) bool { return t.ready }) {
+	for s, tasks := range j.steps() {
+		if !slices.ContainsFunc(tasks, func(t *task) bool { return t.ready }) {
 			continue
 		}
 		c.requestAdvice(now, j, s, usable)
@@ -75,7 +75,7 @@
 			started = c.startGang(now, g, usable) || started
 			continue
 		}
-		for _, t := range j.tasks[s] {
+		for _, t := range tasks {
 			if !t.ready {
 				continue
 			}
@@ -97,7 +97,7 @@
 	if !j.spec(step).SameRack {
 		return ""
 	}
-	for _, t := range j.tasks[step] {
+	for _, t := range j.tasksOf(step) {
 		if t.run != nil && t.run.runner.Rack != "" {
 			return t.run.runner.Rack
 		}
@@ -276,7 +276,7 @@
 	if deadline == 0 {
 		return
 	}
-	t.lastRun = max(t.lastRun, t.runFloor) + 1
+	t.lastRun = max(t.lastRun, t.job.runFloor) + 1
 	x := &run{key: runKey{t.id(), t.lastRun}, task: t, runner: r, resources: requirements(t.spec()), token: r.token}
 	x.resumed = t.checkpoint.value != ""
 	t.run, t.ready = x, false
--- a/core/cell/ends.go
+++ b/core/cell/ends.go
@@ -156,9 +156,9 @@
 		c.discardEnd(x, ref)
 		return
 	}
-	t.lastRun, t.done = e.Run, true
+	t.lastRun = e.Run
+	t.setDone()
 	c.release(x)
-	j.remaining[t.step]--
 	c.finishGang(t, e)
 	c.deferAck(t, ref)
 	j.updateReady()
@@ -211,9 +211,10 @@
 		ref.markStored()
 		return
 	}
-	parts := partsOf(t.members())
+	parts := j.partsOf(t.step, t.index)
 	j.endNumber++
-	j.unstoredEnds = append(j.unstoredEnds, unstoredEnd{endRef: ref, number: j.endNumber, parts: parts})
+	t.occurrence.unstored++
+	j.unstoredEnds = append(j.unstoredEnds, unstoredEnd{endRef: ref, number: j.endNumber, parts: parts, occurrence: t.occurrence})
 	j.markPartsDue(parts)
 	c.markDirty(j)
 }
--- a/core/cell/gang.go
+++ b/core/cell/gang.go
@@ -17,13 +17,13 @@
 	if !j.spec(step).Gang {
 		return nil
 	}
-	return gang(j.tasks[step])
+	return gang(j.tasksOf(step))
 }
 
 // members returns all tasks of the gang of t, or only t if it belongs to none.
 func (t *task) members() []*task {
-	if g := t.job.gang(t.step); g != nil {
-		return g
+	if t.spec().Gang {
+		return t.occurrence.tasks[t.step%len(t.occurrence.tasks)]
 	}
 	return []*task{t}
 }
@@ -114,7 +114,7 @@
 	}
 	slices.SortFunc(jobs, func(a, b *job) int { return strings.Compare(a.ID, b.ID) })
 	for _, j := range jobs {
-		for s := range j.tasks {
+		for s := range j.steps() {
 			if g := j.gang(s); g != nil {
 				c.stopBrokenGang(now, j, g)
 			}
@@ -136,7 +136,7 @@
 		return false
 	}
 	waiting := false
-	for s := range j.tasks {
+	for s := range j.steps() {
 		if g := j.gang(s); g != nil && g.isReady() && c.canHold(now, g) {
 			waiting = true
 		}
@@ -165,8 +165,7 @@
 		if m == t || m.done {
 			continue
 		}
-		m.done = true
+		m.setDone()
 		m.lastRun = max(m.lastRun, e.Run)
-		t.job.remaining[t.step]--
 	}
 }
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -43,13 +43,14 @@
 
 // Reasons of a refusal.
 const (
-	ReasonLoad         = "load"  // the job could not be done in time
-	ReasonStore        = "store" // the store accepts no writes
-	ReasonLease        = "lease" // the holder may start nothing, since another may have become it
-	ReasonNoRunnerFits = "tasks" // no runner is large enough
-	ReasonTooLarge     = "size"  // the job does not fit into a row of the store
-	ReasonFault        = "fault" // the job has made the holder end its term
-	ReasonNoRoom       = "room"  // not all tasks can start at once, and the job was submitted for that only
+	ReasonLoad         = "load"   // the job could not be done in time
+	ReasonStore        = "store"  // the store accepts no writes
+	ReasonLease        = "lease"  // the holder may start nothing, since another may have become it
+	ReasonNoRunnerFits = "tasks"  // no runner is large enough
+	ReasonTooLarge     = "size"   // the job does not fit into a row of the store
+	ReasonFault        = "fault"  // the job has made the holder end its term
+	ReasonMemory       = "memory" // the jobs of the cell take as much memory as they may
+	ReasonNoRoom       = "room"   // not all tasks can start at once, and the job was submitted for that only
 )
 
 // job is a job that has not ended, whose end is not stored, or that has a run that may
@@ -60,11 +61,11 @@
 	received     time.Time // when this holder got it
 	due          time.Time // when its result becomes late
 	state        work.State
-	tasks        [][]*task // by step, through all occurrences
-	remaining    []int     // number of tasks of each step that are not done
-	readyTasks   int       // number of tasks that may be started now
-	failureCount int       // number of failed runs
-	failedOn     []*runner // runners on which runs have failed
+	open         []*occurrence // by number
+	ended        numberSet     // numbers of the occurrences that have ended, also of those that are still open
+	readyTasks   int           // number of tasks that may be started now
+	failureCount int           // number of failed runs
+	failedOn     []*runner     // runners on which runs have failed
 	row          jobRow
 	place        Place
 	placing      bool                // other cells are asked whether they can run it
@@ -78,8 +79,12 @@
 	adviceByStep map[int]*advice // by step; nil if the queue needs no advice
 	unstoredEnds []unstoredEnd
 	endNumber    int   // number of the last of them so far
-	firstTask    []int // number of the first task of each step, through all occurrences
+	firstTask    []int // number of the first task of each step within an occurrence
+	tasksEach    int   // number of tasks of each occurrence
 	released     int   // number of occurrences whose time has come
+	runFloor     int   // this holder starts runs of all tasks with numbers above this one
+
+	closedLastRun int // highest number of a run of the closed occurrences
 	// leastRequired holds the least amount of each resource that a task of any step requires.
 	leastRequired Resources
 	hasGang       bool      // at least one step is a gang
@@ -109,10 +114,10 @@
 // task is one task of a job.
 type task struct {
 	job          *job
-	step         int // index into job.tasks
+	occurrence   *occurrence
+	step         int // numbered through all occurrences
 	index        int
 	lastRun      int       // highest known run number
-	runFloor     int       // this holder starts runs with numbers above this one
 	failedRuns   []int     // numbers of the failed runs
 	failedAt     time.Time // when this holder saw the last of them
 	done         bool
@@ -128,28 +133,19 @@
 	value string
 }
 
-// newJob returns a queued job with unstarted tasks. The first occurrence is released at
-// once unless the job repeats.
+// newJob returns a queued job. Its only occurrence is released at once unless the job repeats.
 func newJob(w work.Job, now time.Time) *job {
 	j := &job{Job: w, arrived: now, state: work.Queued}
-	steps := len(w.Steps) * w.Occurrences()
-	j.tasks = make([][]*task, steps)
-	j.remaining = make([]int, steps)
-	j.firstTask = make([]int, steps)
-	total := 0
-	for s := range steps {
-		count := j.spec(s).Count
-		j.firstTask[s] = total
-		total += count
-		j.remaining[s] = count
-		j.tasks[s] = make([]*task, count)
-		for i := range j.tasks[s] {
-			j.tasks[s][i] = &task{job: j, step: s, index: i}
-		}
+	j.firstTask = make([]int, len(w.Steps))
+	for s := range w.Steps {
+		j.firstTask[s] = j.tasksEach
+		j.tasksEach += w.Steps[s].Count
 	}
-	j.row.parts = make([]progressPart, (total+tasksPerPart-1)/tasksPerPart)
+	j.row.parts = make([]progressPart, (w.Occurrences()*j.tasksEach+tasksPerPart-1)/tasksPerPart)
+	j.ended = newNumberSet(w.Occurrences())
 	if w.RepeatCount == 0 {
 		j.released = 1
+		j.openOccurrence(0)
 	}
 	j.leastRequired = requirements(&w.Steps[0])
 	for s := range w.Steps {
@@ -159,23 +155,11 @@
 	return j
 }
 
-// spec returns the specification of a step, an index into job.tasks.
+// spec returns the specification of a step, numbered through all occurrences.
 func (j *job) spec(step int) *work.Step {
 	return &j.Steps[step%len(j.Steps)]
 }
 
-// task returns the task with the given identifier, or nil if j has none.
-func (j *job) task(id work.Task) *task {
-	if id.Occurrence < 0 || id.Occurrence >= j.Occurrences() || id.Step < 0 || id.Step >= len(j.Steps) {
-		return nil
-	}
-	step := id.Occurrence*len(j.Steps) + id.Step
-	if id.Index < 0 || id.Index >= len(j.tasks[step]) {
-		return nil
-	}
-	return j.tasks[step][id.Index]
-}
-
 // id returns the identifier of t.
 func (t *task) id() work.Task {
 	steps := len(t.job.Steps)
@@ -186,74 +170,49 @@
 	return t.job.spec(t.step)
 }
 
-// stepUnblocked reports whether the occurrence of a step has been released and all steps
-// that it depends on are done.
-func (j *job) stepUnblocked(step int) bool {
-	steps := len(j.Steps)
-	if step/steps >= j.released {
-		return false
-	}
-	firstStep := step - step%steps
-	for _, a := range j.spec(step).After {
-		if j.remaining[firstStep+a] > 0 {
-			return false
-		}
-	}
-	return true
+// stepUnblocked reports whether an occurrence has been released and all steps are done that a
+// step of it depends on.
+func (j *job) stepUnblocked(o *occurrence, step int) bool {
+	return o.number < j.released && !slices.ContainsFunc(j.Steps[step].After, func(a int) bool { return o.remaining[a] > 0 })
 }
 
 // updateReady determines which tasks may be started now, and counts them.
 func (j *job) updateReady() {
 	j.readyTasks = 0
-	for s := range j.tasks {
-		unblocked := j.stepUnblocked(s) && !j.state.Ended() && j.isHere()
-		for _, t := range j.tasks[s] {
-			t.ready = unblocked && !t.done && t.run == nil
-			if t.ready {
-				j.readyTasks++
+	for _, o := range j.open {
+		for s, tasks := range o.tasks {
+			unblocked := j.stepUnblocked(o, s) && !j.state.Ended() && j.isHere()
+			for _, t := range tasks {
+				t.ready = unblocked && !t.done && t.run == nil
+				if t.ready {
+					j.readyTasks++
+				}
 			}
 		}
 	}
 }
 
-// complete reports whether all tasks are done.
-func (j *job) complete() bool {
-	for _, n := range j.remaining {
-		if n > 0 {
-			return false
-		}
-	}
-	return true
-}
+// complete reports whether all occurrences have ended.
+func (j *job) complete() bool { return j.ended.count == j.Occurrences() }
 
 // hasStarted reports whether any task has been started.
 func (j *job) hasStarted() bool {
-	for _, step := range j.tasks {
-		for _, t := range step {
-			if t.done || t.run != nil || t.lastRun > 0 {
-				return true
-			}
-		}
+	if j.ended.count > 0 {
+		return true
 	}
-	return false
-}
-
-// setRunFloor sets the number above which the runs of all tasks of j are numbered by this holder.
-func (j *job) setRunFloor(floor int) {
-	for _, step := range j.tasks {
-		for _, t := range step {
-			t.runFloor = floor
+	for t := range j.openTasks() {
+		if t.done || t.run != nil || t.lastRun > 0 {
+			return true
 		}
 	}
+	return false
 }
 
 // lastRun returns the highest number of a run of j, zero if there is none.
 func (j *job) lastRun() int {
-	last := 0
-	for _, step := range j.tasks {
-		for _, t := range step {
-			last = max(last, t.lastRun)
-		}
+	last := j.closedLastRun
+	for _, o := range j.open {
+		last = max(last, o.lastRun())
 	}
 	return last
 }
@@ -269,11 +228,9 @@
 // runs returns the runs of the tasks of j that may be alive.
 func (j *job) runs() iter.Seq[*run] {
 	return func(yield func(*run) bool) {
-		for _, step := range j.tasks {
-			for _, t := range step {
-				if t.run != nil && !yield(t.run) {
-					return
-				}
+		for t := range j.openTasks() {
+			if t.run != nil && !yield(t.run) {
+				return
 			}
 		}
 	}
--- a/core/cell/move.go
+++ b/core/cell/move.go
@@ -36,7 +36,7 @@
 
 // setPlace makes another cell the place of j. If this one is not its home, that is where it goes.
 func (c *Cell) setPlace(j *job, to string) {
-	j.place.RunBase = max(j.runFloor(c.Term.TermNumber+1), j.lastRun())
+	j.place.RunBase = max(j.runFloorIn(c.Term.TermNumber+1), j.lastRun())
 	j.place.Number++
 	j.place.To = to
 	if j.place.Home != "" {
@@ -166,6 +166,7 @@
 		j := c.takenJob(now, m, old)
 		j.taken = append(j.taken, reply)
 		c.jobs[w.ID] = j
+		c.jobMemory += j.memory()
 		delete(c.endedJobs.jobs, w.ID)
 		c.Metrics.Count("taken", 1)
 		c.log("event", "take", "job", w.ID, "from", m.From, "number", m.Place.Number, "base", m.Place.RunBase, "home", m.Place.Home)
@@ -208,7 +209,7 @@
 		}
 		j.waiting, j.cancels, j.stateQueries = old.waiting, old.cancels, old.stateQueries
 	}
-	j.setRunFloor(j.runFloor(c.Term.TermNumber))
+	j.runFloor = j.runFloorIn(c.Term.TermNumber)
 	for p, value := range m.Parts {
 		if p >= 0 && p < len(j.row.parts) {
 			c.restorePart(j, p, value)
--- a/core/cell/neighbours.go
+++ b/core/cell/neighbours.go
@@ -62,6 +62,9 @@
 	}
 	a.Places = c.placesNow(now, &w, q.Now)
 	j := newJob(w, now)
+	if !c.hasMemory(j.memory()) {
+		return Answer{}, false
+	}
 	j.due = now.Add(c.allowedTime(j))
 	admission := c.admission(now, j)
 	a.Admitted, a.Drained = admission.Admitted, admission.Drained
--- a/core/cell/occur.go
+++ b/core/cell/occur.go
@@ -1,16 +1,22 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
 )
 
-// releaseOccurrences releases the occurrences of scheduled jobs whose time has come.
+// releaseOccurrences closes the occurrences that have ended and releases those whose time has come,
+// the ones that are due first before the others. Where many are due at once, those that do not fit
+// into the memory of the cell wait until others have ended.
 func (c *Cell) releaseOccurrences(now time.Time) {
 	var due []*job
 	wall := int64(0)
+	c.jobMemory, c.heldBack = 0, 0
 	for _, j := range c.jobs {
+		j.closeEnded()
+		c.jobMemory += j.memory()
 		if j.released >= j.Occurrences() || !j.row.stored || j.state.Ended() || !j.isHere() {
 			continue
 		}
@@ -21,19 +27,35 @@
 			due = append(due, j)
 		}
 	}
-	slices.SortFunc(due, func(a, b *job) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(due, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.Due(a.released), b.Due(b.released)), strings.Compare(a.ID, b.ID))
+	})
 	for _, j := range due {
 		c.releaseDue(now, j, wall)
 	}
 }
 
 // releaseDue releases the occurrences of j that are due at wall, a wall-clock time in
-// milliseconds. The due time of the job becomes that of the latest one.
+// milliseconds, as far as there is memory for them. The due time of the job becomes that of the
+// latest one.
 func (c *Cell) releaseDue(now time.Time, j *job, wall int64) {
+	before := j.released
 	for j.released < j.Occurrences() && j.Due(j.released) <= wall {
+		if _, open := j.find(j.released); !open && !j.ended.contains(j.released) {
+			if !c.mayOpen(j) {
+				c.heldBack++
+				break
+			}
+			used := j.memory()
+			j.openOccurrence(j.released)
+			c.jobMemory += j.memory() - used
+		}
 		j.released++
 	}
-	c.log("event", "occur", "job", j.ID, "occurrence", j.released-1, "late", wall-j.Due(j.released-1))
+	if j.released == before {
+		return
+	}
+	c.log("event", "occur", "job", j.ID, "occurrence", j.released-1, "late", wall-j.Due(j.released-1), "open", len(j.open))
 	c.removeReady(j)
 	j.due = now.Add(c.allowedTime(j))
 	j.updateReady()
--- a/core/cell/parts.go
+++ b/core/cell/parts.go
@@ -29,18 +29,29 @@
 	endRef
 	number int   // consecutive for each job
 	parts  []int // parts that its effects concern; none if they are stored with the end of the job only
+
+	occurrence *occurrence // of its task; nil if its effects are stored with the end of the job only
 }
 
-// part returns the number of the part with the progress of t.
-func (t *task) part() int { return (t.job.firstTask[t.step] + t.index) / tasksPerPart }
+// taskNumber returns the number of a task, counted through all steps and occurrences. The step is
+// numbered through all occurrences too.
+func (j *job) taskNumber(step, index int) int {
+	return step/len(j.Steps)*j.tasksEach + j.firstTask[step%len(j.Steps)] + index
+}
 
-// partsOf returns the parts with the progress of the tasks given, each once.
-func partsOf(tasks []*task) []int {
+// part returns the number of the part with the progress of t.
+func (t *task) part() int { return t.job.taskNumber(t.step, t.index) / tasksPerPart }
+
+// partsOf returns the parts with the progress of a task and of the other members of its gang, whether
+// or not its occurrence is open.
+func (j *job) partsOf(step, index int) []int {
+	first, last := index, index
+	if s := j.spec(step); s.Gang {
+		first, last = 0, s.Count-1
+	}
 	var parts []int
-	for _, t := range tasks {
-		if p := t.part(); !slices.Contains(parts, p) {
-			parts = append(parts, p)
-		}
+	for p := j.taskNumber(step, first) / tasksPerPart; p <= j.taskNumber(step, last)/tasksPerPart; p++ {
+		parts = append(parts, p)
 	}
 	return parts
 }
@@ -71,9 +82,11 @@
 		stored := len(e.parts) > 0 && !slices.ContainsFunc(e.parts, func(p int) bool { return j.row.parts[p].storedThrough < e.number })
 		if stored {
 			e.markStored()
+			e.occurrence.unstored--
 		}
 		return stored
 	})
+	j.closeEnded()
 }
 
 // partKey returns the key of the row of a part of the progress of j.
--- a/core/cell/place.go
+++ b/core/cell/place.go
@@ -64,8 +64,8 @@
 // isHere reports whether this cell may start tasks of j: no other one has it, and the row says so.
 func (j *job) isHere() bool { return j.place.To == "" && !j.row.placeDue }
 
-// runFloor returns the number above which the runs of j are numbered in a term.
-func (j *job) runFloor(termNumber int) int { return j.place.RunBase + (termNumber-1)*runsPerTerm }
+// runFloorIn returns the number above which the runs of j are numbered in a term.
+func (j *job) runFloorIn(termNumber int) int { return j.place.RunBase + (termNumber-1)*runsPerTerm }
 
 // MovedTo returns the cell that has a job which belongs to this one; empty if this one has the job or
 // does not know it.
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -29,6 +29,7 @@
 		c.restoreProgress(row)
 	}
 	c.loaded = true
+	c.measureMemory()
 	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
 		j := c.jobs[id]
 		j.updateReady()
@@ -83,7 +84,7 @@
 	j.inherited, j.place = true, place
 	j.row.stored, j.row.jobVersion = true, row.Version
 	j.due = now.Add(c.allowedTime(j))
-	j.setRunFloor(j.runFloor(c.Term.TermNumber))
+	j.runFloor = j.runFloorIn(c.Term.TermNumber)
 	c.jobs[j.ID] = j
 }
 
@@ -106,7 +107,7 @@
 // resubmitted before the rows were loaded.
 func (c *Cell) restoreResubmitted(j *job, version int64, place Place) {
 	j.inherited, j.place = true, place
-	j.setRunFloor(max(j.runFloor(c.Term.TermNumber), j.lastRun()))
+	j.runFloor = max(j.runFloorIn(c.Term.TermNumber), j.lastRun())
 	j.row.stored, j.row.jobVersion = true, version
 	if !j.isHere() {
 		j.answerCancels(work.Unknown, false)
@@ -138,15 +139,13 @@
 	}
 	for s, done := range p.Done {
 		for _, i := range done {
-			if t := j.taskAt(p.First+s, i); t != nil {
-				c.restoreDone(t, part)
-			}
+			c.restoreDone(j, p.First+s, i, part)
 		}
 	}
 	for _, f := range p.Failures {
 		if t := j.taskAt(f.Step, f.Index); t != nil {
 			t.failedRuns, t.triedRunners = f.Runs, f.Runners
-			c.restoreInPart(t, part)
+			c.restoreInPart(j, part, t.part())
 		}
 	}
 	for _, saved := range p.Checkpoints {
@@ -154,34 +153,35 @@
 			t.saveCheckpoint(saved.Run, saved.Value)
 		}
 	}
+	j.closeEnded()
 }
 
 // restoreDone marks a task as done, and with it the other members of its gang.
-func (c *Cell) restoreDone(t *task, part int) {
+func (c *Cell) restoreDone(j *job, step, index, part int) {
+	if !j.hasTask(step, index) {
+		return
+	}
+	for _, own := range j.partsOf(step, index) {
+		c.restoreInPart(j, part, own)
+	}
+	t := j.taskAt(step, index)
+	if t == nil {
+		return // its occurrence is closed, by an earlier row
+	}
 	for _, m := range t.members() {
 		if !m.done {
-			m.done = true
-			t.job.remaining[m.step]--
+			m.setDone()
 		}
-		c.restoreInPart(m, part)
-	}
-}
-
-// restoreInPart schedules a write of the part of t if its progress was restored from another one,
-// as from rows that earlier builds have written.
-func (c *Cell) restoreInPart(t *task, part int) {
-	if own := t.part(); own != part {
-		t.job.row.parts[own].due = true
-		c.markDirty(t.job)
 	}
 }
 
-// taskAt returns the task at an index of a step of job.tasks, or nil if there is none.
-func (j *job) taskAt(step, index int) *task {
-	if step < 0 || step >= len(j.tasks) || index < 0 || index >= len(j.tasks[step]) {
-		return nil
+// restoreInPart schedules a write of a part if progress that belongs there was restored from another
+// one, as from rows that earlier builds have written.
+func (c *Cell) restoreInPart(j *job, part, own int) {
+	if own != part {
+		j.row.parts[own].due = true
+		c.markDirty(j)
 	}
-	return j.tasks[step][index]
 }
 
 // Message is an event for a Cell.
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -45,5 +45,6 @@
 	}
 	c.log("event", "load", "jobs", len(c.jobs), "waiting", len(c.ready), "tasks", tasks, "runs", runs, "strays", orphans,
 		"listed", inDirectory, "usable", usable, "resting", backingOff, "charged", failing, "unfenced", unfenced, "leaving", leaving,
-		"cpu", capacity, "used", used, "backlog", c.backlog(now), "safe", c.takenOver, "start", c.mayStart(now))
+		"cpu", capacity, "used", used, "backlog", c.backlog(now), "safe", c.takenOver, "start", c.mayStart(now),
+		"memory", c.jobMemory, "heldback", c.heldBack)
 }
--- a/core/cell/rows.go
+++ b/core/cell/rows.go
@@ -75,27 +75,45 @@
 func (j *job) progress(part int) ProgressRow {
 	p := ProgressRow{}
 	first, end := part*tasksPerPart, (part+1)*tasksPerPart
-	for s, step := range j.tasks {
-		offset := j.firstTask[s]
-		if offset+len(step) <= first || offset >= end {
+	for s := first / j.tasksEach * len(j.Steps); s < j.Occurrences()*len(j.Steps) && j.taskNumber(s, 0) < end; s++ {
+		offset, count := j.taskNumber(s, 0), j.spec(s).Count
+		if offset+count <= first {
 			continue
 		}
 		if p.Done == nil {
 			p.First = s
 		}
 		p.Done = append(p.Done, nil)
-		for i := max(first-offset, 0); i < min(end-offset, len(step)); i++ {
-			p.add(step[i])
-		}
+		p.addStep(j, s, max(first-offset, 0), min(end-offset, count))
 	}
 	return p
 }
 
+// addStep adds the progress of the tasks of a step of j with indexes from first to before end, as the
+// last step in Done. All tasks of an occurrence that is closed are done, and none of one that has not
+// been opened.
+func (p *ProgressRow) addStep(j *job, step, first, end int) {
+	tasks, ended := j.tasksOf(step), j.ended.contains(step/len(j.Steps))
+	for i := first; i < end; i++ {
+		switch {
+		case tasks != nil:
+			p.add(tasks[i])
+		case ended:
+			p.addDone(i)
+		}
+	}
+}
+
+// addDone adds a finished task of the last step in Done.
+func (p *ProgressRow) addDone(index int) {
+	last := &p.Done[len(p.Done)-1]
+	*last = append(*last, index)
+}
+
 // add adds the progress of a task of the last step in Done.
 func (p *ProgressRow) add(t *task) {
 	if t.done {
-		last := &p.Done[len(p.Done)-1]
-		*last = append(*last, t.index)
+		p.addDone(t.index)
 	}
 	if t.checkpoint.value != "" && !t.done {
 		p.Checkpoints = append(p.Checkpoints, TaskCheckpoint{Step: t.step, Index: t.index, Run: t.checkpoint.run, Value: t.checkpoint.value})
--- a/core/cell/run.go
+++ b/core/cell/run.go
@@ -135,23 +135,25 @@
 // has ended, and its task waits for that. A run of an unknown job is kept as an orphan.
 func (c *Cell) adopt(now time.Time, r *runner, key runKey) *run {
 	x := &run{key: key, runner: r, token: r.token, startSent: now, startAnswered: now}
+	j, step := c.jobs[key.task.Job], -1
 	var t *task
-	if j := c.jobs[key.task.Job]; j != nil {
-		t = j.task(key.task)
+	if j != nil {
+		step = j.stepOf(key.task)
+		t = j.taskAt(step, key.task.Index)
 	}
 	r.runs[key] = x
-	if t == nil {
+	if step < 0 {
 		x.orphan = true
 		x.endBy = c.resubmissionTime(r)
 		r.orphans++
 	} else {
-		x.endBy = t.job.runsEndBy
-		x.resources = requirements(t.spec())
+		x.endBy = j.runsEndBy
+		x.resources = requirements(j.spec(step))
 		r.used = r.used.add(x.resources)
 	}
-	if t != nil && !t.done && t.run == nil && !t.job.state.Ended() && t.job.isHere() {
+	if t != nil && !t.done && t.run == nil && !j.state.Ended() && j.isHere() {
 		x.task, t.run = t, x
-		t.job.updateReady()
+		j.updateReady()
 		c.log("event", "adopt", "runner", r.ID, "job", key.task.Job, "task", key.task.Index, "run", key.run, "last", t.lastRun)
 		if key.run < t.lastRun {
 			c.stop(now, x, "not the latest run of its task")
@@ -159,7 +161,7 @@
 		t.lastRun = max(t.lastRun, key.run)
 		return x
 	}
-	if t != nil || c.jobs[key.task.Job] != nil {
+	if j != nil {
 		c.stop(now, x, "not the current run of its task")
 	}
 	return x
--- a/core/cell/search.go
+++ b/core/cell/search.go
@@ -37,10 +37,14 @@
 func (j *job) query() Query {
 	q := Query{Job: j.Job, Left: make([]bool, len(j.Steps)), Now: make([]bool, len(j.Steps))}
 	q.Job.ID, q.Job.Spec, q.Job.RepeatCount, q.Job.FirstDue, q.Job.Interval = "", "", 0, 0, 0
-	for s, step := range j.tasks {
-		i := s % len(j.Steps)
-		q.Left[i] = q.Left[i] || j.remaining[s] > 0
-		q.Now[i] = q.Now[i] || slices.ContainsFunc(step, func(t *task) bool { return t.ready })
+	for i := range j.Steps { // all are left of an occurrence that has not been opened
+		q.Left[i] = j.ended.count+j.openCount() < j.Occurrences()
+	}
+	for _, o := range j.open {
+		for i, tasks := range o.tasks {
+			q.Left[i] = q.Left[i] || o.remaining[i] > 0
+			q.Now[i] = q.Now[i] || slices.ContainsFunc(tasks, func(t *task) bool { return t.ready })
+		}
 	}
 	if !slices.Contains(q.Now, true) { // not accepted yet
 		for i := range j.Steps {
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -62,8 +62,9 @@
 		return
 	}
 	j.waiting = append(j.waiting, waiter{submission.Caller, reply})
-	j.setRunFloor(max(j.runFloor(c.Term.TermNumber), c.endedJobs.jobs[w.ID].lastRun))
+	j.runFloor = max(j.runFloorIn(c.Term.TermNumber), c.endedJobs.jobs[w.ID].lastRun)
 	c.jobs[w.ID] = j
+	c.jobMemory += j.memory()
 	c.claimOrphans(now, j)
 	if w.Transient {
 		c.accept(now, j)
@@ -99,9 +100,10 @@
 // run. The job is accepted or refused once they have answered.
 func (c *Cell) submitElsewhere(now time.Time, j *job, w waiter) {
 	j.waiting = append(j.waiting, w)
-	j.setRunFloor(j.runFloor(c.Term.TermNumber))
+	j.runFloor = j.runFloorIn(c.Term.TermNumber)
 	j.placing = true
 	c.jobs[j.ID] = j
+	c.jobMemory += j.memory()
 	switch s := c.search(now, j.query()); {
 	case s == nil:
 		c.refuse(j, ReasonNoRunnerFits, retryAfter)
@@ -383,12 +385,10 @@
 	}
 	j.state = state
 	c.removeReady(j)
-	for _, step := range j.tasks {
-		for _, t := range step {
-			t.ready = false
-			if t.run != nil && !t.done {
-				c.stop(now, t.run, "job "+string(state))
-			}
+	for t := range j.openTasks() {
+		t.ready = false
+		if t.run != nil && !t.done {
+			c.stop(now, t.run, "job "+string(state))
 		}
 	}
 	if j.Transient {
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -33,6 +33,7 @@
 	faults        faults
 	endsPerReply  int                  // largest number of ends that a runner lists in a reply
 	loadDelay     time.Duration        // added to the time until a new holder has read the rows
+	settings      cell.Settings        // of the holders from the next one on
 	refusedWrites []string             // reasons for which the store has refused writes as malformed
 	resumedFrom   map[work.Task]string // checkpoint that the last run of a task started from
 	openQuestions int                  // number of unanswered questions to the adviser
@@ -185,7 +186,7 @@
 	}
 	t.Cell, t.HolderKey, t.Epoch, t.TermNumber = w.cellName, key, w.store.version, p.termNumber
 	t.PreviousRunners, t.PreviousAlive = previousRunners, previousAlive
-	p.cell = cell.New(t, cell.Settings{}, w.now)
+	p.cell = cell.New(t, w.settings, w.now)
 	p.epoch = w.store.version
 	p.cell.Orders, p.cell.Store, p.cell.Adviser = p, p, p
 	if len(w.others) > 0 {
