--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -63,6 +63,7 @@
 	state        work.State
 	open         []*occurrence // by number
 	ended        numberSet     // numbers of the occurrences that have ended, also of those that are still open
+	endedOpen    int           // number of open occurrences that have ended
 	readyTasks   int           // number of tasks that may be started now
 	failureCount int           // number of failed runs
 	failedOn     []*runner     // runners on which runs have failed
@@ -81,6 +82,7 @@
 	endNumber    int   // number of the last of them so far
 	firstTask    []int // number of the first task of each step within an occurrence
 	tasksEach    int   // number of tasks of each occurrence
+	leastMemory  int   // estimated memory that always counts, in bytes
 	released     int   // number of occurrences whose time has come
 	runFloor     int   // this holder starts runs of all tasks with numbers above this one
 
@@ -141,6 +143,7 @@
 		j.firstTask[s] = j.tasksEach
 		j.tasksEach += w.Steps[s].Count
 	}
+	j.leastMemory = leastMemory(&w)
 	j.row.parts = make([]progressPart, (w.Occurrences()*j.tasksEach+tasksPerPart-1)/tasksPerPart)
 	j.ended = newNumberSet(w.Occurrences())
 	if w.RepeatCount == 0 {
--- a/core/cell/occurrence.go
+++ b/core/cell/occurrence.go
@@ -68,27 +68,20 @@
 	return o
 }
 
-// openCount returns the number of open occurrences that have not ended.
-func (j *job) openCount() int {
-	n := 0
-	for _, o := range j.open {
-		if o.left > 0 {
-			n++
-		}
-	}
-	return n
-}
+// openedAll reports whether all occurrences have been opened or have ended.
+func (j *job) openedAll() bool { return j.ended.count+len(j.open)-j.endedOpen == j.Occurrences() }
 
 // closeEnded closes the occurrences that need not be open any more. One job that has ended keeps its
 // tasks, since ends of their runs are not acknowledged before its own end is stored.
 func (j *job) closeEnded() {
-	if j.state.Ended() {
+	if j.endedOpen == 0 || j.state.Ended() {
 		return
 	}
 	j.open = slices.DeleteFunc(j.open, func(o *occurrence) bool {
 		if o.left > 0 || o.unstored > 0 || o.hasRuns() {
 			return false
 		}
+		j.endedOpen--
 		j.closedLastRun = max(j.closedLastRun, o.lastRun())
 		for s := range j.Steps {
 			delete(j.adviceByStep, o.number*len(j.Steps)+s)
@@ -126,6 +119,7 @@
 	o.left--
 	if o.left == 0 {
 		t.job.ended.add(o.number)
+		t.job.endedOpen++
 	}
 }
 
--- a/core/cell/occurrences_test.go
+++ b/core/cell/occurrences_test.go
@@ -184,8 +184,9 @@
 }
 
 // TestGangOfOccurrenceHeld guards against ends of members of a gang that are acknowledged before the
-// rows hold the end of the gang, since its occurrence has been closed: the runner that has reported the
-// first end is lost with the holder, and the gang would run again.
+// rows hold the end of the gang, since its occurrence has been closed: the gang would run again if the
+// runner that has reported the first end were lost with the holder. A runner whose run has been given
+// up reports its end late.
 func TestGangOfOccurrenceHeld(t *testing.T) {
 	t.Parallel()
 	w := newWorld(1, 3, 32000)
@@ -194,8 +195,11 @@
 	w.submit(newRepeated(w, 2, 20*time.Second, gangStep(6, 1000)))
 	w.run(1300 * time.Millisecond)
 	w.store.down = true
-	w.run(2 * time.Second)
+	w.runners["r1"].unreachable = true
+	w.run(4 * time.Second)
 	require.Equal(t, 6, w.endCounts[order.Finished])
+	w.runners["r1"].unreachable = false
+	w.run(time.Second)
 	for id, r := range w.runners {
 		require.Len(t, r.unackedEnds, 2, id)
 	}
@@ -276,6 +280,141 @@
 	checkSettled(t, w)
 }
 
+// TestRepeatedSubmittedAgain guards against runs of a transient job with occurrences that runners reject
+// since they have carried out runs with the same numbers: its caller left when one occurrence had been
+// closed, and another one submits it again.
+func TestRepeatedSubmittedAgain(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 1, 32000)
+	p := w.takeOver()
+	counts := counters{}
+	p.cell.Metrics = counts
+	w.run(time.Second)
+	j := newRepeated(w, 2, 2*time.Second, plainStep(2))
+	j.Transient = true
+	w.submitted[j.ID] = j
+	var outcome cell.Outcome
+	submit := func(caller string) {
+		p.exec(func() {
+			p.cell.Submit(w.now, cell.Submission{Job: *j, Caller: caller}, func(o cell.Outcome) { outcome = o })
+		})
+	}
+	submit("a")
+	w.run(2 * time.Second)
+	require.Len(t, w.finished, 2)
+	p.exec(func() { p.cell.CallerLeft(w.now, j.ID, "a") })
+	w.run(100 * time.Millisecond)
+	submit("b")
+	w.run(4 * time.Second)
+	require.Equal(t, work.Succeeded, outcome.State)
+	require.Empty(t, w.violations)
+	require.Equal(t, 6, counts["starts"])
+	require.Zero(t, counts["not_started_"+order.Superseded.String()])
+}
+
+// counters implements cell.Metrics. It holds the counts by name.
+type counters map[string]int
+
+func (c counters) Count(what string, n int)      { c[what] += n }
+func (c counters) Observe(string, time.Duration) {}
+
+// queries implements cell.Neighbours. It records the questions and does not reply.
+type queries struct{ list []cell.Query }
+
+func (q *queries) Search(query cell.Query)            { q.list = append(q.list, query) }
+func (q *queries) Move(string, cell.MovedJob)         {}
+func (q *queries) ReportEnds(string, []cell.MovedEnd) {}
+
+// TestQueryOfScheduledJob guards against a job that moves to a cell which cannot run its later
+// occurrences, since the question leaves out a step that is done in the open one.
+func TestQueryOfScheduledJob(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 2, 32000)
+	w.runners["r1"].label = "g"
+	p := w.takeOver()
+	asked := &queries{}
+	p.cell.Neighbours = asked
+	w.run(time.Second)
+	w.submit(newRepeated(w, 2, 20*time.Second, plainStep(1), labelled("g", 1, 0)))
+	w.run(100 * time.Millisecond)
+	w.runners["r1"].draining = true
+	w.updateDirectory()
+	w.run(2 * time.Second)
+	require.Len(t, w.finished, 1)
+	require.NotEmpty(t, asked.list)
+	require.Equal(t, []bool{true, true}, asked.list[0].Left)
+	require.Equal(t, []bool{false, true}, asked.list[0].Now)
+}
+
+// TestScheduledJobMoves guards against progress of closed occurrences that is lost when a job moves to
+// another cell, and is taken back by its home there.
+func TestScheduledJobMoves(t *testing.T) {
+	t.Parallel()
+	l := newCells(1, 2, 3)
+	home := l[0]
+	for _, w := range l {
+		w.runners[w.cellName+"-r0"].label = "g"
+		w.updateDirectory()
+	}
+	l.run(100 * time.Millisecond)
+	j := newRepeated(home, 4, 8*time.Second, labelled("g", 2), labelled("g", 1, 0))
+	home.submit(j)
+	lose := func(w, other *world) {
+		for _, x := range l {
+			x.runners[x.cellName+"-r0"].draining = x == w
+			x.updateDirectory()
+		}
+		require.Positive(t, len(other.runners))
+	}
+	l.run(3 * time.Second)
+	require.Len(t, home.ackedFinished, 3)
+	lose(home, l[1])
+	l.run(8 * time.Second) // the second occurrence, in the other cell
+	require.Len(t, home.ackedFinished, 6)
+	require.Equal(t, "c1", home.holder().cell.MovedTo(j.ID))
+	lose(l[1], home)
+	l.run(8 * time.Second) // the third one, at home
+	require.Len(t, home.ackedFinished, 9)
+	require.Empty(t, home.holder().cell.MovedTo(j.ID))
+	home.holder().kill()
+	home.takeOver()
+	l.run(10 * time.Second)
+	require.Equal(t, work.Succeeded, home.store.state(j.ID))
+	require.Len(t, home.finished, 12)
+	require.Empty(t, l.violations())
+	require.Empty(t, l.rowsLeft())
+}
+
+// TestOccurrencesOfEarlierBuild reads the progress of several occurrences from one row, as earlier builds
+// have written it: what was done must not run again, also at the next holder after the row was divided.
+func TestOccurrencesOfEarlierBuild(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 2, 320000)
+	j := newJob(1, false, work.Step{Count: 150, CPU: 1000, Estimate: 500}, work.Step{Count: 2, CPU: 1000, Estimate: 100, After: []int{0}})
+	j.RepeatCount, j.FirstDue, j.Interval = 5, w.now.Add(-time.Second).UnixMilli(), 100
+	w.submitted[j.ID] = j
+	row := cell.ProgressRow{Done: [][]int{count(150), count(2), count(150), count(2), count(100), nil, count(150), count(2), nil, nil}}
+	w.store.write(newRow("c0/jobs/"+j.ID, j))
+	w.store.write(newRow(partKey(j, 0), row))
+	w.finished[work.Task{Job: j.ID, Occurrence: 2}] = true // by the holder of the earlier build
+	for i := range 100 {
+		w.finished[work.Task{Job: j.ID, Occurrence: 2, Index: i}] = true
+	}
+	w.takeOver()
+	w.run(300 * time.Millisecond)
+	require.Len(t, w.store.scan("c0/progress/"), 4)
+	w.holder().kill()
+	w.heal()
+	w.run(20 * time.Second)
+	require.Equal(t, work.Succeeded, w.store.state(j.ID))
+	require.Empty(t, w.violations)
+	started := map[int]int{}
+	for task := range w.lastRuns {
+		started[task.Occurrence]++
+	}
+	require.Equal(t, map[int]int{2: 52, 4: 152}, started)
+}
+
 // TestAnyFaultsWithOccurrences injects one to four faults, drawn at random, while jobs with many
 // occurrences run: with gangs, checkpoints and dependencies, in one or several rows, some due at once,
 // and with little memory. All must end once the faults are over, and no guarantee may be violated.
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -39,6 +39,9 @@
 			failing++
 		}
 	}
+	if c.heldBack > 0 {
+		c.Metrics.Count("occurrences_held", c.heldBack)
+	}
 	tasks := 0
 	for _, j := range c.ready {
 		tasks += j.readyTasks
--- a/core/cell/search.go
+++ b/core/cell/search.go
@@ -38,7 +38,7 @@
 	q := Query{Job: j.Job, Left: make([]bool, len(j.Steps)), Now: make([]bool, len(j.Steps))}
 	q.Job.ID, q.Job.Spec, q.Job.RepeatCount, q.Job.FirstDue, q.Job.Interval = "", "", 0, 0, 0
 	for i := range j.Steps { // all are left of an occurrence that has not been opened
-		q.Left[i] = j.ended.count+j.openCount() < j.Occurrences()
+		q.Left[i] = !j.openedAll()
 	}
 	for _, o := range j.open {
 		for i, tasks := range o.tasks {
