--- a/core/cell/neighbours.go
+++ b/core/cell/neighbours.go
@@ -65,6 +65,9 @@
 	a.Evacuated = c.fitsBesideEvacuations(now, w.Steps, w.Queue.Service)
 	a.Places = c.placesNow(now, &w, q.Now)
 	j := newJob(w, now)
+	if !c.hasMemory(j.memory()) {
+		return Answer{}, false
+	}
 	j.due = now.Add(c.allowedTime(j))
 	admission := c.admission(now, j)
 	a.Admitted, a.Drained = admission.Admitted, admission.Drained
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -41,11 +41,15 @@
 			failing++
 		}
 	}
+	if c.heldBack > 0 {
+		c.Metrics.Count("occurrences_held", c.heldBack)
+	}
 	tasks := 0
 	for _, j := range c.ready {
 		tasks += j.readyTasks
 	}
 	c.log("event", "load", "jobs", len(c.jobs), "waiting", len(c.ready), "tasks", tasks, "runs", runs, "strays", orphans,
 		"listed", inDirectory, "usable", usable, "resting", backingOff, "charged", failing, "unfenced", unfenced, "leaving", leaving,
-		"evacuated", evacuated, "cold", c.ColdRunners(now), "cpu", capacity, "used", used, "backlog", c.backlog(now), "safe", c.takenOver, "start", c.mayStart(now))
+		"evacuated", evacuated, "cold", c.ColdRunners(now), "cpu", capacity, "used", used, "backlog", c.backlog(now), "safe", c.takenOver, "start", c.mayStart(now),
+		"memory", c.jobMemory, "heldback", c.heldBack)
 }
