--- a/core/cell/occurrence.go
+++ b/core/cell/occurrence.go
@@ -71,7 +71,7 @@
 // openedAll reports whether all occurrences have been opened or have ended.
 func (j *job) openedAll() bool { return j.ended.count+len(j.open)-j.endedOpen == j.Occurrences() }
 
-// closeEnded closes the occurrences that need not be open any more. One job that has ended keeps its
+// closeEnded closes the occurrences that need not be open any more. A job that has ended keeps its
 // tasks, since ends of their runs are not acknowledged before its own end is stored.
 func (j *job) closeEnded() {
 	if j.endedOpen == 0 || j.state.Ended() {
--- a/core/cell/occurrences_test.go
+++ b/core/cell/occurrences_test.go
@@ -1,9 +1,11 @@
 package cell_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 
 	"gypsumward/core/cell"
 	"gypsumward/core/order"
+	"gypsumward/core/table"
 	"gypsumward/core/work"
 )
 
@@ -402,7 +405,9 @@
 	}
 	w.takeOver()
 	w.run(300 * time.Millisecond)
-	require.Len(t, w.store.scan("c0/progress/"), 4)
+	rows := w.store.scan("c0/progress/")
+	require.Len(t, rows, 4)
+	require.Equal(t, row.Done, readDone(t, rows, 10), "what earlier builds read")
 	w.holder().kill()
 	w.heal()
 	w.run(20 * time.Second)
@@ -415,6 +420,24 @@
 	require.Equal(t, map[int]int{2: 52, 4: 152}, started)
 }
 
+// readDone returns the indexes of the finished tasks of the given number of steps, as all builds read
+// them from the rows of the progress of a job.
+func readDone(t *testing.T, rows []table.Row, steps int) [][]int {
+	done := make([][]int, steps)
+	for _, row := range rows {
+		var p cell.ProgressRow
+		require.NoError(t, json.Unmarshal(row.Value, &p))
+		for s, list := range p.Done {
+			done[p.First+s] = append(done[p.First+s], list...)
+		}
+	}
+	for s, list := range done { // the first row may still hold what the others do
+		slices.Sort(list)
+		done[s] = slices.Compact(list)
+	}
+	return done
+}
+
 // TestAnyFaultsWithOccurrences injects one to four faults, drawn at random, while jobs with many
 // occurrences run: with gangs, checkpoints and dependencies, in one or several rows, some due at once,
 // and with little memory. All must end once the faults are over, and no guarantee may be violated.
