cell: a runner at whose address another one answers gets no starts

Each reply of the other runner released all runs there and their tasks started there again at once, as the runner counted as silent only after 25 ms: with n orders in flight n times n start orders came back, and a holder with many tasks did nothing else. The runner is now out of use from the first such reply until it answers itself.

--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -54,7 +54,7 @@
 		c.updateRunnerSet(now)
 	}
 	for _, r := range c.sorted {
-		if r.free().CPU >= least && c.isReported(r) && r.isListed(now) && r.capacityKnown() && r.receivesWork() && r.fenced && !r.health.isBackingOff(now) && !r.isSilent(now, c.answerTimeout(r)) {
+		if r.free().CPU >= least && c.isReported(r) && r.isListed(now) && r.capacityKnown() && r.receivesWork() && r.fenced && !r.displaced && !r.health.isBackingOff(now) && !r.isSilent(now, c.answerTimeout(r)) {
 			list = append(list, r)
 		}
 	}
--- a/core/cell/lost_test.go
+++ b/core/cell/lost_test.go
@@ -76,6 +76,23 @@
 	checkSettled(t, w)
 }
 
+// TestReplacedRunnerGetsNoStarts guards against start orders without end to a runner at whose address another
+// one answers: each of their replies released all runs there, and their tasks started there again.
+func TestReplacedRunnerGetsNoStarts(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1, 1, 32000)
+	p := w.takeOver()
+	w.run(time.Second)
+	w.runners["r0"].loseAddress()
+	w.submit(newJob(1, true, work.Step{Count: 32, CPU: 1000, Estimate: 200}))
+	w.run(100 * time.Millisecond)
+	require.LessOrEqual(t, p.startsSent["r0"], 64)
+	w.heal()
+	w.updateDirectory()
+	w.run(10 * time.Second)
+	checkSettled(t, w)
+}
+
 // TestLostRunnerProbes checks that a crashed runner gets at most 50 holds in 10 s.
 func TestLostRunnerProbes(t *testing.T) {
 	t.Parallel()
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -39,6 +39,7 @@
 	tokensIssued    int64     // number of tokens used so far
 	token           int64
 	fenced          bool           // it has answered under the current token
+	displaced       bool           // another runner has answered at its address, and it has not since
 	restarted       bool           // it has restarted, and the new incarnation has not answered under a token of its own
 	synced          bool           // it has listed all runs and ends under a token of this holder, so orders of previous holders are void
 	endsTruncated   bool           // its last reply may lack ends
@@ -167,7 +168,7 @@
 		r.clock, r.clockAt = clock, now
 	}
 	if token == r.token {
-		r.unansweredSince, r.missedProbes = time.Time{}, 0
+		r.unansweredSince, r.missedProbes, r.displaced = time.Time{}, 0, false
 	}
 }
 
@@ -200,6 +201,7 @@
 // handleReplaced processes a reply of another runner at the address of r. The incarnation
 // of r in the directory has ended, and all its runs with it.
 func (c *Cell) handleReplaced(now time.Time, r *runner) {
+	r.displaced = true
 	if r.unansweredSince.IsZero() {
 		r.unansweredSince = now
 	}
