core/interference, cell: keep kinds of tasks that slow each other down apart

Tasks of some kinds take longer beside those of others on one runner. The cell did not see that, and its choice of runners (the slowest that ends a task in time) puts them together.

core/interference estimates the factor for each ordered pair of kinds by a regression of run times on what ran beside, against the same kind on the same runner, and believes a pair only if groups of runs by runner and by job agree. core/cell feeds it at the end of runs and uses the cost in the score of runners, if an eighth of the capacity would stay free and no earlier job waits. Off unless placement.interference=on. TestAllFields of reload gets a case for fields of kind bool.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -75,6 +75,7 @@
 	ready         []*job    // jobs with tasks to start, by due time
 	writer        rowWriter
 	estimates     estimates
+	interference  *interferenceWatch // nil if Settings.Interference is not set
 	endedJobs     endedJobs
 	departed      departedCallers
 	lastTicket    int64
@@ -288,6 +289,7 @@
 	if c.deposed {
 		return
 	}
+	c.updateInterference(now)
 	c.completeTakeover(now)
 	c.releaseOccurrences(now)
 	for _, j := range c.jobs {
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -15,6 +15,7 @@
 	}
 	least := c.leastNeed()
 	usable := c.usable(now, least)
+	c.measureSpare(now)
 	for i := 0; i < len(c.ready) && len(usable) > 0; {
 		j := c.ready[i]
 		if !c.mayStartJob(now, j) {
@@ -146,10 +147,10 @@
 // weights are, in this order: t was not tried on r, a serving t disturbs no opportunistic
 // task there, and the last run on r did not fail.
 func (c *Cell) score(t *task, r *runner, required Resources, expected, timeLeft float64) float64 {
-	rate := r.speed.rate()
-	score := rate
+	rate, cost := r.speed.rate(), c.interferenceCost(t, r)
+	score := rate / cost
 	if expected/rate*runTimeMargin <= timeLeft {
-		score = 10 - rate
+		score = 10 - rate - interferencePenalty(cost)
 	}
 	leftover := r.free().sub(required)
 	score -= float64(leftover.CPU%max(required.CPU, 1)) / float64(max(r.Capacity.CPU, 1)) * 0.5
@@ -283,6 +284,7 @@
 	t.job.readyTasks--
 	r.runs[x.key] = x
 	r.used = r.used.add(x.resources)
+	c.watchStart(now, x)
 	c.stopOpportunistic(now, t, r)
 	c.Metrics.Count("starts", 1)
 	c.log("event", "start", "job", t.job.ID, "step", t.step, "task", t.index, "run", t.lastRun, "runner", r.ID, "waited", now.Sub(t.job.arrived),
--- a/core/cell/health.go
+++ b/core/cell/health.go
@@ -101,6 +101,7 @@
 // estimates of its queue and runner. Long-running, opportunistic and resumed runs don't
 // change the estimates.
 func (c *Cell) recordRunTime(now time.Time, x *run, reason order.EndReason) {
+	c.setWatchTime(now)
 	if x.task == nil || reason != order.Finished || x.startAnswered.IsZero() {
 		return
 	}
@@ -110,6 +111,7 @@
 	}
 	elapsed := max(milliseconds(now.Sub(x.startAnswered)), 1)
 	j := x.task.job
+	c.observeInterference(now, x, elapsed)
 	x.runner.speed.update(c.expectedRunTime(j, x.task.step) / elapsed)
 	q := c.estimates.queues[j.Queue.Name]
 	if q == nil {
--- a/core/cell/run.go
+++ b/core/cell/run.go
@@ -35,6 +35,7 @@
 	orphan         bool      // its resources are not known; the runner counts as full
 	resumed        bool      // started from a checkpoint
 	lookAt         time.Time // when the runner is next asked for the progress of the run
+	watch          *runWatch // what runs beside it; nil if that is not recorded
 }
 
 // maxStartClock is the highest reading of the clock of a runner that has just started.
@@ -148,6 +149,7 @@
 		x.endBy = t.job.runsEndBy
 		x.resources = requirements(t.spec())
 		r.used = r.used.add(x.resources)
+		c.watchAdopted(now, x, t)
 	}
 	if t != nil && !t.done && t.run == nil && !t.job.state.Ended() && t.job.isHere() {
 		x.task, t.run = t, x
@@ -174,6 +176,7 @@
 	r := x.runner
 	delete(r.runs, x.key)
 	r.used = r.used.sub(x.resources)
+	c.watchEnd(x)
 	if x.orphan {
 		r.orphans--
 	}
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -64,6 +64,7 @@
 	missedProbes            int       // retried holds since the last reply
 	health                  health
 	speed                   speed
+	presence                *presence // kinds of the runs; nil if that is not recorded
 }
 
 // fence issues a new token, which makes all earlier orders to r void, and sends a hold to
--- a/core/cell/runner_world_test.go
+++ b/core/cell/runner_world_test.go
@@ -221,6 +221,8 @@
 	case step.LongRunning && step.TailLatencyTarget > 0 && reason == order.Finished:
 		r.watchDisturbance(t, x)
 	case step.LongRunning && reason == order.Finished:
+	case w.factors != nil && reason == order.Finished:
+		r.progress(t, x)
 	default:
 		incarnation := r.incarnation
 		w.after(x.duration, func() {
--- a/core/cell/settings.go
+++ b/core/cell/settings.go
@@ -27,6 +27,7 @@
 	IdlePollWait   time.Duration // long-poll time at a runner without runs
 	MaxWrites      int           // maximum number of write transactions in flight
 	MaxRow         int           // largest value of a row, in bytes
+	Interference   bool          // kinds of tasks that slow each other down are kept apart where there is free capacity
 }
 
 // withDefaults returns s with zero values replaced by the defaults.
@@ -63,5 +64,5 @@
 func (c *Cell) ApplySettings(s Settings) {
 	c.Settings = s.withDefaults()
 	c.log("event", "bounds", "lease", c.Settings.Lease, "grace", c.Settings.StopGrace, "keep", c.Settings.EndRetention,
-		"again", c.Settings.ResubmitAfter)
+		"again", c.Settings.ResubmitAfter, "interference", c.Settings.Interference)
 }
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -167,6 +167,7 @@
 			r.orphans--
 			x.resources = requirements(t.spec())
 			r.used = r.used.add(x.resources)
+			c.watchAdopted(now, x, t)
 		}
 		x.task, t.run, t.lastRun = t, x, x.key.run
 		c.log("event", "adopt", "runner", r.ID, "job", j.ID, "task", t.index, "run", x.key.run, "stopping", !x.stopSent.IsZero())
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -31,11 +31,15 @@
 	processes     []*process // of all holders so far; the last one holds the cell
 	violations    []string
 	faults        faults
-	endsPerReply  int                  // largest number of ends that a runner lists in a reply
-	loadDelay     time.Duration        // added to the time until a new holder has read the rows
-	refusedWrites []string             // reasons for which the store has refused writes as malformed
-	resumedFrom   map[work.Task]string // checkpoint that the last run of a task started from
-	openQuestions int                  // number of unanswered questions to the adviser
+	settings      cell.Settings
+	factors       map[[2]string]float64 // by which tasks of a queue take longer beside those of another one; nil if none do
+	runCounts     map[string]int        // number of finished runs by queue, if factors is set
+	runTimes      map[string]float64    // sum of run times in multiples of those without neighbours by queue, likewise
+	endsPerReply  int                   // largest number of ends that a runner lists in a reply
+	loadDelay     time.Duration         // added to the time until a new holder has read the rows
+	refusedWrites []string              // reasons for which the store has refused writes as malformed
+	resumedFrom   map[work.Task]string  // checkpoint that the last run of a task started from
+	openQuestions int                   // number of unanswered questions to the adviser
 
 	submitted     map[string]*work.Job
 	lastRuns      map[work.Task]int          // highest number of a started run of each task
@@ -185,7 +189,7 @@
 	}
 	t.Cell, t.HolderKey, t.Epoch, t.TermNumber = w.cellName, key, w.store.version, p.termNumber
 	t.PreviousRunners, t.PreviousAlive = previousRunners, previousAlive
-	p.cell = cell.New(t, cell.Settings{}, w.now)
+	p.cell = cell.New(t, w.settings, w.now)
 	p.epoch = w.store.version
 	p.cell.Orders, p.cell.Store, p.cell.Adviser = p, p, p
 	if len(w.others) > 0 {
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -121,7 +121,7 @@
 // bounds returns the bounds of a cell under the current settings.
 func (h *Host) bounds() cell.Settings {
 	s := h.settings.Current()
-	return cell.Settings{Lease: s.Lease, StopGrace: s.StopGrace, EndRetention: s.StatusRetention + retentionSlack, ResubmitAfter: s.Retransmit, MaxRow: s.MaxRow}
+	return cell.Settings{Lease: s.Lease, StopGrace: s.StopGrace, EndRetention: s.StatusRetention + retentionSlack, ResubmitAfter: s.Retransmit, MaxRow: s.MaxRow, Interference: s.Interference}
 }
 
 // applyBounds applies changed bounds to all cells that this instance holds.
--- a/gypsumward/reload/follower.go
+++ b/gypsumward/reload/follower.go
@@ -84,7 +84,7 @@
 	applied, restart := changes(&f.current, next)
 	_ = f.Log.Log("event", "reload", "asked", signalled, "applied", strings.Join(applied, ","), "later", strings.Join(restart, ","))
 	f.current.Lease, f.current.StopGrace, f.current.ShutdownGrace, f.current.StatusRetention = next.Lease, next.StopGrace, next.ShutdownGrace, next.StatusRetention
-	f.current.Drain, f.current.MaxRow = next.Drain, next.MaxRow
+	f.current.Drain, f.current.MaxRow, f.current.Interference = next.Drain, next.MaxRow, next.Interference
 	return len(applied) > 0
 }
 
@@ -102,6 +102,7 @@
 		{"status", current.StatusRetention != next.StatusRetention, true},
 		{"drain", current.Drain != next.Drain, true},
 		{"row", current.MaxRow != next.MaxRow, true},
+		{"interference", current.Interference != next.Interference, true},
 		{"retransmit", current.Retransmit != next.Retransmit, false},
 		{"apply", current.ConfigApply != next.ConfigApply, false},
 		{"adviser", current.AdviserAddr != next.AdviserAddr, false},
--- a/gypsumward/reload/follower_test.go
+++ b/gypsumward/reload/follower_test.go
@@ -79,6 +79,8 @@
 			field.SetFloat(1)
 		case reflect.Int, reflect.Int64:
 			field.SetInt(1)
+		case reflect.Bool:
+			field.SetBool(true)
 		case reflect.Array:
 			field.Index(0).SetInt(1)
 		default:
