--- a/core/cell/interfere.go
+++ b/core/cell/interfere.go
@@ -19,6 +19,14 @@
 // room for larger ones.
 const spareDivisor = 8
 
+// minRoomyRunners is the number of runners with room for the largest task of the last time that must be left
+// for interference to change the choice of a runner, so that one remains for such a task.
+const minRoomyRunners = 2
+
+// largestPeriod is the time after which the largest task of a period is that of the previous one. Large
+// tasks of the last one to two periods count.
+const largestPeriod = time.Minute
+
 // Limits of what is recorded and logged.
 const (
 	maxPresentKinds     = 16 // kinds of which the presence on one runner is recorded
@@ -31,8 +39,11 @@
 	model   *interference.Model
 	now     time.Time // of the event that is being processed
 	updated time.Time
-	spare   int  // CPU that is free beyond the part that must be, in thousandths of a core
-	costly  bool // a runner was rated lower for interference since the last start
+	spare   int       // CPU that is free beyond the part that must be, in thousandths of a core
+	roomy   int       // runners with room for the largest task
+	largest [2]int    // CPU of the largest task that was started in this period and in the previous one
+	period  time.Time // when this period began
+	costly  bool      // a runner was rated lower for interference since the last start
 }
 
 // presence records the kinds of the runs on a runner: their numbers, and for how long they were
@@ -89,6 +100,15 @@
 	}
 	w.updated = now
 	c.logInterference(now, w.model.Update(now))
+	if m, ok := c.Metrics.(pairMetrics); ok {
+		m.SetInterference(c.Term.Cell, w.model.Pairs())
+	}
+}
+
+// pairMetrics is implemented by Metrics that show which pairs of kinds are believed to interfere in a
+// cell. SetInterference replaces the pairs of a cell. It is called once per interferenceUpdate.
+type pairMetrics interface {
+	SetInterference(cell string, pairs []interference.Pair)
 }
 
 // endWatch drops what is known of interference.
@@ -134,22 +154,43 @@
 	if w == nil {
 		return
 	}
+	if now.Sub(w.period) >= largestPeriod {
+		w.largest, w.period = [2]int{0, w.largest[0]}, now
+	}
 	capacity, free := 0, 0
+	w.roomy = 0
 	for _, r := range c.sorted {
-		if r.isListed(now) && !r.Draining {
-			capacity += r.Capacity.CPU
-			free += max(r.free().CPU, 0)
+		if !r.isListed(now) || r.Draining {
+			continue
+		}
+		capacity += r.Capacity.CPU
+		free += max(r.free().CPU, 0)
+		if r.free().CPU >= w.largestTask() {
+			w.roomy++
 		}
 	}
 	w.now, w.spare = now, free-capacity/spareDivisor
 }
 
+// largestTask returns the CPU of the largest task that was started lately.
+func (w *interferenceWatch) largestTask() int { return max(w.largest[0], w.largest[1]) }
+
+// useSpare records that x, which has been added to its runner, takes a part of what is free.
+func (w *interferenceWatch) useSpare(x *run) {
+	w.spare -= x.resources.CPU
+	if free := x.runner.free().CPU; free < w.largestTask() && free+x.resources.CPU >= w.largestTask() {
+		w.roomy--
+	}
+	w.largest[0] = max(w.largest[0], x.resources.CPU)
+}
+
 // interferenceCost returns the expected cost of placing t on r, as a factor of its run time, for the
-// tasks that run there and for itself. It is 1 if nothing is known, if little capacity is free, or if
-// tasks of a job that comes earlier wait, to which the choice may matter.
+// tasks that run there and for itself. It is 1 if nothing is known, if little capacity is free or on too
+// few runners, or if tasks of a job that comes earlier wait, to which the choice may matter.
 func (c *Cell) interferenceCost(t *task, r *runner) float64 {
 	w := c.interference
-	if w == nil || r.presence == nil || w.spare < requirements(t.spec()).CPU || (len(c.ready) > 0 && c.ready[0] != t.job) {
+	if w == nil || r.presence == nil || w.spare < requirements(t.spec()).CPU || w.roomy < minRoomyRunners ||
+		(len(c.ready) > 0 && c.ready[0] != t.job) {
 		return 1
 	}
 	cost := w.model.Cost(t.kind(), r.presence.groups)
@@ -178,7 +219,7 @@
 	}
 	w.costly = false
 	w.now = now
-	w.spare -= x.resources.CPU
+	w.useSpare(x)
 	x.watch = &runWatch{kind: x.task.kind(), started: now}
 	c.addPresence(now, x)
 }
--- a/core/interference/belief.go
+++ b/core/interference/belief.go
@@ -29,9 +29,12 @@
 	return changes
 }
 
-// decay reduces the weight of the evidence.
+// decay reduces the weight of the evidence, once per decayInterval.
 func (k *kind) decay(now time.Time) {
 	passed := min(max(now.Sub(k.updated), 0), maxUpdateGap)
+	if passed < decayInterval {
+		return
+	}
 	keep := math.Exp(-passed.Seconds()/decayTime.Seconds() - k.newRuns/decayRuns)
 	k.updated, k.newRuns = now, 0
 	for d := range k.evidence {
@@ -86,11 +89,13 @@
 		explained += e.costs[i] * total.products[i]
 	}
 	residual := max((total.squares-explained)/max(e.freedom, 1), minResidual)
+	matters := false
 	for i := range k.used {
 		e.errors[i] = math.Sqrt(residual * inverse[i][i])
 		e.groups[i] = groupCount
+		matters = matters || k.slots[i].believed || e.shows(i)
 	}
-	for d := range k.evidence {
+	for d := 0; matters && d < divisions; d++ {
 		k.compareGroups(d, &e, &total, &inverse)
 	}
 	return e
--- a/core/interference/kind.go
+++ b/core/interference/kind.go
@@ -7,10 +7,11 @@
 
 // Parameters of the evidence.
 const (
-	baselineWindow = 32               // runs in the moving mean of a kind on a runner
-	maxDeviation   = 0.8              // of the logarithm of a run time from the mean; bounds the effect of stragglers
-	decayTime      = time.Minute      // after which evidence counts 1/e
-	decayRuns      = 4000.0           // number of runs of a kind after which evidence counts 1/e
+	baselineWindow = 32          // runs in the moving mean of a kind on a runner
+	maxDeviation   = 0.8         // of the logarithm of a run time from the mean; bounds the effect of stragglers
+	decayTime      = time.Minute // after which evidence counts 1/e
+	decayRuns      = 4000.0      // number of runs of a kind after which evidence counts 1/e
+	decayInterval  = 5 * time.Second
 	groupTime      = 5 * time.Second  // for which the runs of a runner, or a job, are in one group
 	groupCount     = 16               // of each division of the evidence
 	ridge          = 0.5              // added to the sum of squares of each fraction, so that few runs say little
@@ -36,7 +37,7 @@
 	endAgreement = 2.0
 	minFreedom   = 30.0  // runs beyond the number of neighbours
 	minResidual  = 0.005 // least variance of the logarithm of a run time
-	minPivot     = 1e-9
+	minPivot     = 1e-9  // of the matrix, against division by zero
 )
 
 // vector has an entry for each neighbour of a kind.
--- a/gypsumward/hosted/metrics.go
+++ b/gypsumward/hosted/metrics.go
@@ -22,6 +22,7 @@
 
 // metrics holds the metrics of an instance. It implements cell.Metrics.
 type metrics struct {
+	*pairGauge
 	registry  *prometheus.Registry
 	counts    *prometheus.CounterVec
 	durations *prometheus.HistogramVec
@@ -32,7 +33,8 @@
 
 func newMetrics() *metrics {
 	m := &metrics{
-		registry: prometheus.NewRegistry(),
+		pairGauge: newPairGauge(),
+		registry:  prometheus.NewRegistry(),
 		counts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "gypsumward", Name: "decisions_total", Help: "Decisions by kind.",
 		}, []string{"kind"}),
@@ -55,7 +57,7 @@
 			Help: "Time since the last successful read of rows of the store; -1 before the first one.",
 		}, func() float64 { return m.ReadAge(dependency) }))
 	}
-	m.registry.MustRegister(m.counts, m.durations, m.calls, m.bytes, collectors.NewGoCollector())
+	m.registry.MustRegister(m.counts, m.durations, m.calls, m.bytes, m.pairGauge, collectors.NewGoCollector())
 	return m
 }
 
