Merge interference between kinds of tasks

Kinds of tasks that slow each other down on a runner are found by their run times and kept apart where there is room, if placement.interference is on in the settings file. Off by default: nothing is recorded.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -79,6 +79,7 @@
 	ready         []*job    // jobs with tasks to start, by due time
 	writer        rowWriter
 	estimates     estimates
+	interference  *interferenceWatch // nil if Settings.Interference is not set
 	endedJobs     endedJobs
 	departed      departedCallers
 	lastTicket    int64
@@ -261,6 +262,7 @@
 	if c.deposed {
 		return
 	}
+	c.updateInterference(now)
 	c.completeTakeover(now)
 	c.releaseOccurrences(now)
 	for _, j := range c.jobs {
--- a/core/cell/health.go
+++ b/core/cell/health.go
@@ -114,6 +114,7 @@
 // estimates of its queue and runner. Long-running, opportunistic and resumed runs don't
 // change the estimates, and those on cold runners only that of cold runners.
 func (c *Cell) recordRunTime(now time.Time, x *run, reason order.EndReason) {
+	c.setWatchTime(now)
 	if x.task == nil || reason != order.Finished || x.startAnswered.IsZero() {
 		return
 	}
@@ -129,6 +130,7 @@
 		c.recordColdRun(now, x, ratio)
 		return
 	}
+	c.observeInterference(now, x, elapsed)
 	x.runner.speed.update(ratio)
 	q := c.estimates.queues[j.Queue.Name]
 	if q == nil {
--- a/core/cell/run.go
+++ b/core/cell/run.go
@@ -36,6 +36,7 @@
 	resumed        bool      // started from a checkpoint
 	startedCold    bool      // started while the runner was cold
 	lookAt         time.Time // when the runner is next asked for the progress of the run
+	watch          *runWatch // what runs beside it; nil if that is not recorded
 }
 
 // maxStartClock is the highest reading of the clock of a runner that has just started.
@@ -151,6 +152,7 @@
 		x.endBy = j.runsEndBy
 		x.resources = requirements(j.spec(step))
 		r.used = r.used.add(x.resources)
+		c.watchAdopted(now, x, t)
 	}
 	if t != nil && !t.done && t.run == nil && !j.state.Ended() && j.isHere() {
 		x.task, t.run = t, x
@@ -177,6 +179,7 @@
 	r := x.runner
 	delete(r.runs, x.key)
 	r.used = r.used.sub(x.resources)
+	c.watchEnd(x)
 	if x.orphan {
 		r.orphans--
 	}
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -31,15 +31,18 @@
 	processes     []*process // of all holders so far; the last one holds the cell
 	violations    []string
 	faults        faults
-	endsPerReply  int                  // largest number of ends that a runner lists in a reply
-	loadDelay     time.Duration        // added to the time until a new holder has read the rows
-	settings      cell.Settings        // of the holders from the next one on
-	refusedWrites []string             // reasons for which the store has refused writes as malformed
-	resumedFrom   map[work.Task]string // checkpoint that the last run of a task started from
-	rushAttempts  int                  // max attempts of the jobs of a rush
-	evacuated     []string             // data centres that the operator has evacuated; nil if holders are not told of them
-	runsGoOn      bool                 // there are no faults that end the runs that are there when an evacuation begins
-	openQuestions int                  // number of unanswered questions to the adviser
+	endsPerReply  int                   // largest number of ends that a runner lists in a reply
+	loadDelay     time.Duration         // added to the time until a new holder has read the rows
+	settings      cell.Settings         // of the holders from the next one on
+	refusedWrites []string              // reasons for which the store has refused writes as malformed
+	resumedFrom   map[work.Task]string  // checkpoint that the last run of a task started from
+	rushAttempts  int                   // max attempts of the jobs of a rush
+	evacuated     []string              // data centres that the operator has evacuated; nil if holders are not told of them
+	runsGoOn      bool                  // there are no faults that end the runs that are there when an evacuation begins
+	openQuestions int                   // number of unanswered questions to the adviser
+	factors       map[[2]string]float64 // by which tasks of a queue take longer beside those of another one; nil if none do
+	runCounts     map[string]int        // number of finished runs by queue, if factors is set
+	runTimes      map[string]float64    // sum of run times in multiples of those without neighbours by queue, likewise
 
 	submitted     map[string]*work.Job
 	lastRuns      map[work.Task]int          // highest number of a started run of each task
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -127,7 +127,7 @@
 	s := h.settings.Current()
 	return cell.Settings{
 		Lease: s.Lease, StopGrace: s.StopGrace, EndRetention: s.StatusRetention + retentionSlack, ResubmitAfter: s.Retransmit, MaxRow: s.MaxRow,
-		MaxJobMemory: cell.JobMemory(s.MemoryMB), AwaitEvacuations: true,
+		MaxJobMemory: cell.JobMemory(s.MemoryMB), AwaitEvacuations: true, Interference: s.Interference,
 	}
 }
 
--- a/gypsumward/reload/follower.go
+++ b/gypsumward/reload/follower.go
@@ -85,6 +85,7 @@
 	_ = f.Log.Log("event", "reload", "asked", signalled, "applied", strings.Join(applied, ","), "later", strings.Join(restart, ","))
 	f.current.Lease, f.current.StopGrace, f.current.ShutdownGrace, f.current.StatusRetention = next.Lease, next.StopGrace, next.ShutdownGrace, next.StatusRetention
 	f.current.Drain, f.current.Evacuate, f.current.MaxRow = next.Drain, next.Evacuate, next.MaxRow
+	f.current.Interference = next.Interference
 	return len(applied) > 0
 }
 
@@ -103,6 +104,7 @@
 		{"drain", current.Drain != next.Drain, true},
 		{"evacuate", current.Evacuate != next.Evacuate, true},
 		{"row", current.MaxRow != next.MaxRow, true},
+		{"interference", current.Interference != next.Interference, true},
 		{"retransmit", current.Retransmit != next.Retransmit, false},
 		{"apply", current.ConfigApply != next.ConfigApply, false},
 		{"adviser", current.AdviserAddr != next.AdviserAddr, false},
