intake: admission of the input of clients, for the servers of the hosted process

Clients that send without end, or stop just short of the end of a request, made a process exceed its memory and its descriptors: nothing bounded the sum of what their connections hold. core/intake decides without a network how many connections are kept and how many bytes are held for headers, bodies and what is decoded from them; core/intake/intakehttp applies this to the servers for clients, readiness probes and metrics. max_header_bytes, header_timeout_ms and idle_timeout_ms of the configuration are in force at each read, limits.max_fds of the settings file bounds the connections.

--- /dev/null
+++ b/core/intake/claim.go
@@ -0,0 +1,110 @@
+package intake
+
+import "time"
+
+// state is what a connection does.
+type state int
+
+const (
+	waiting state = iota // between requests
+	reading              // a request is being read or decoded
+	working              // a request has been read completely
+)
+
+// Claim is the part of a Gate that one connection holds. Its methods that return a bool return false
+// once the claim has been evicted.
+type Claim struct {
+	gate    *Gate
+	evict   func()
+	state   state
+	bytes   int64
+	began   time.Time // of the first byte of the request
+	last    time.Time // of the last byte, or of the last change to waiting
+	evicted bool
+	closed  bool
+}
+
+// Read records that a byte of a request has arrived.
+func (c *Claim) Read() bool { return c.change(reading) }
+
+// Work records that the request has been read completely and is being carried out. From then on the
+// claim is not evicted.
+func (c *Claim) Work() bool { return c.change(working) }
+
+// Wait records the end of a request, or that a client need not be waited for any longer.
+func (c *Claim) Wait() bool { return c.change(waiting) }
+
+func (c *Claim) change(to state) bool {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	if c.evicted {
+		return false
+	}
+	c.last = c.gate.Clock.Now()
+	if c.state == waiting {
+		c.began = c.last
+	}
+	c.state = to
+	return true
+}
+
+// Grow adds n bytes to the claim, which must be done before they are allocated. It returns false if
+// there is no room for them, and then adds none.
+func (c *Claim) Grow(n int64) bool {
+	g := c.gate
+	g.mu.Lock()
+	if c.evicted {
+		g.mu.Unlock()
+		return false
+	}
+	victims, ok := g.makeRoom(nil, c, n, g.Clock.Now())
+	if ok {
+		g.used += n
+		c.bytes += n
+	} else {
+		g.observe(BytesRefused)
+	}
+	g.mu.Unlock()
+	for _, v := range victims {
+		v.evict()
+	}
+	return ok
+}
+
+// ReleaseInput gives all bytes back but those of the connection itself.
+func (c *Claim) ReleaseInput() {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	c.release(c.bytes - ConnBytes)
+}
+
+// Release gives n bytes back.
+func (c *Claim) Release(n int64) {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	c.release(n)
+}
+
+func (c *Claim) release(n int64) {
+	c.bytes -= n
+	c.gate.used -= n
+	if c.evicted {
+		c.gate.evictedBytes -= n
+	}
+}
+
+// Close gives the whole claim back. Further calls have no effect.
+func (c *Claim) Close() {
+	g := c.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.release(c.bytes)
+	c.closed = true
+	delete(g.claims, c)
+	if c.evicted {
+		g.evicted--
+	}
+}
--- /dev/null
+++ b/core/intake/gate.go
@@ -0,0 +1,200 @@
+package intake
+
+import (
+	"sync"
+	"time"
+)
+
+// ConnBytes is the memory that a claim covers for its connection without any input: two buffers of
+// 4 KB, two stacks of up to 4 KB and the structures of the connection and its socket. With 900 silent
+// connections the resident memory of a process rose by 8 MB, with others in use by up to twice that.
+const ConnBytes = 24 << 10
+
+// StallTime is the time without a byte after which a claim counts as stalled, and the time after which
+// a request that is still being read may give way to a new connection. Segments that are lost on the
+// way are sent again within 0.2 to 0.4 s.
+const StallTime = 500 * time.Millisecond
+
+// Kind is a kind of decision.
+type Kind string
+
+// The kinds of decisions of a Gate.
+const (
+	IdleClosed     Kind = "idle_closed"     // an idle connection was closed for another one
+	StalledEvicted Kind = "stalled_evicted" // a request that had stalled gave way
+	LargeEvicted   Kind = "large_evicted"   // a request gave way to a smaller one
+	ConnRefused    Kind = "conn_refused"    // a connection was refused
+	BytesRefused   Kind = "bytes_refused"   // input was refused
+)
+
+// Gate holds the claims of a process or of one of its servers. Its exported fields must be set before
+// the first call. It is safe for concurrent use.
+type Gate struct {
+	Bytes int64 // for all claims together
+	Conns int   // claims
+	Clock interface{ Now() time.Time }
+
+	// Observe is called with each decision against a connection, the bytes that the claims hold and
+	// the number of claims. It must not block or call the gate, and may be nil.
+	Observe func(kind Kind, bytes int64, conns int)
+
+	mu           sync.Mutex
+	claims       map[*Claim]struct{}
+	used         int64 // bytes of all claims
+	evictedBytes int64 // of used, those of evicted claims that are not closed yet
+	evicted      int   // evicted claims that are not closed yet
+}
+
+// Parts of the limits by which evicted claims that have not been closed yet may exceed them. Without
+// a limit, a process too busy to close them would hold ever more.
+const (
+	evictedBytesPart = 4
+	evictedConnsPart = 8
+)
+
+// Open returns a claim for a new connection, or nil if there is no room for it. The claim is idle. If
+// it gives way to another one later, evict is called, once, and the holder of the claim must close it
+// soon. Evict must not block.
+func (g *Gate) Open(evict func()) *Claim {
+	c := &Claim{gate: g, evict: evict}
+	g.mu.Lock()
+	now := g.Clock.Now()
+	c.last = now
+	var victims []*Claim
+	room := len(g.claims) < g.Conns+max(1, g.Conns/evictedConnsPart)
+	if room && len(g.claims)-g.evicted >= g.Conns {
+		victim, kind := g.connVictim(now)
+		if room = victim != nil; room {
+			victims = g.evictLocked(victims, victim, kind)
+		}
+	}
+	if room {
+		victims, room = g.makeRoom(victims, c, ConnBytes, now)
+	}
+	if room {
+		if g.claims == nil {
+			g.claims = map[*Claim]struct{}{}
+		}
+		g.claims[c] = struct{}{}
+		g.used += ConnBytes
+		c.bytes = ConnBytes
+	} else {
+		g.observe(ConnRefused)
+	}
+	g.mu.Unlock()
+	for _, v := range victims {
+		v.evict()
+	}
+	if !room {
+		return nil
+	}
+	return c
+}
+
+// Used returns the bytes that the claims hold and their number.
+func (g *Gate) Used() (bytes int64, conns int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.used, len(g.claims)
+}
+
+// connVictim returns the claim that gives way to a new connection, or nil if there is none.
+func (g *Gate) connVictim(now time.Time) (*Claim, Kind) {
+	var idle, stalled, large *Claim
+	for c := range g.claims {
+		switch {
+		case c.evicted || c.state == working:
+		case c.state == waiting:
+			idle = earlier(idle, c)
+		case now.Sub(c.last) >= StallTime:
+			stalled = earlier(stalled, c)
+		case now.Sub(c.began) >= StallTime && (large == nil || c.bytes > large.bytes):
+			large = c
+		}
+	}
+	switch {
+	case idle != nil:
+		return idle, IdleClosed
+	case stalled != nil:
+		return stalled, StalledEvicted
+	}
+	return large, LargeEvicted
+}
+
+// earlier returns that of two claims which has been without a byte for longer. The first may be nil.
+func earlier(a, b *Claim) *Claim {
+	if a == nil || b.last.Before(a.last) {
+		return b
+	}
+	return a
+}
+
+// makeRoom evicts claims, which it appends to victims, until c can have n bytes more. It evicts none
+// and returns false if that is not possible.
+func (g *Gate) makeRoom(victims []*Claim, c *Claim, n int64, now time.Time) ([]*Claim, bool) {
+	missing := g.used - g.evictedBytes + n - g.Bytes
+	if missing > 0 && missing > g.evictableFor(c, n, now) || g.used+n > g.Bytes+g.Bytes/evictedBytesPart {
+		return victims, false
+	}
+	for missing > 0 {
+		victim, kind := g.bytesVictim(c, n, now)
+		missing -= victim.bytes
+		victims = g.evictLocked(victims, victim, kind)
+	}
+	return victims, true
+}
+
+// givesWay reports whether other gives way to c, if that needs n bytes more, and whether because it
+// has stalled.
+func givesWay(other, c *Claim, n int64, now time.Time) (gives, stalled bool) {
+	if other == c || other.evicted || other.state != reading {
+		return false, false
+	}
+	stalled = now.Sub(other.last) >= StallTime
+	return stalled || other.bytes > c.bytes+n, stalled
+}
+
+// evictableFor returns the bytes of the claims that give way to c.
+func (g *Gate) evictableFor(c *Claim, n int64, now time.Time) int64 {
+	total := int64(0)
+	for other := range g.claims {
+		if gives, _ := givesWay(other, c, n, now); gives {
+			total += other.bytes
+		}
+	}
+	return total
+}
+
+// bytesVictim returns the first claim that gives way to c, or nil if there is none.
+func (g *Gate) bytesVictim(c *Claim, n int64, now time.Time) (*Claim, Kind) {
+	var victim *Claim
+	victimStalled := false
+	for other := range g.claims {
+		gives, stalled := givesWay(other, c, n, now)
+		if !gives || (victimStalled && !stalled) {
+			continue
+		}
+		if victim == nil || (stalled && !victimStalled) || other.bytes > victim.bytes {
+			victim, victimStalled = other, stalled
+		}
+	}
+	if victimStalled {
+		return victim, StalledEvicted
+	}
+	return victim, LargeEvicted
+}
+
+// evictLocked marks c as evicted and appends it to victims.
+func (g *Gate) evictLocked(victims []*Claim, c *Claim, kind Kind) []*Claim {
+	c.evicted = true
+	g.evicted++
+	g.evictedBytes += c.bytes
+	g.observe(kind)
+	return append(victims, c)
+}
+
+func (g *Gate) observe(kind Kind) {
+	if g.Observe != nil {
+		g.Observe(kind, g.used, len(g.claims))
+	}
+}
--- /dev/null
+++ b/core/intake/gate_test.go
@@ -0,0 +1,232 @@
+package intake_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"gypsumward/core/intake"
+)
+
+// clock is a clock that a test sets.
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+// world is a gate with the names of the claims that were evicted, in order, and its decisions.
+type world struct {
+	*intake.Gate
+	clock   *clock
+	evicted []string
+	kinds   []intake.Kind
+}
+
+func newWorld(bytes int64, conns int) *world {
+	w := &world{clock: &clock{now: time.Unix(1000, 0)}}
+	w.Gate = &intake.Gate{Bytes: bytes, Conns: conns, Clock: w.clock, Observe: func(kind intake.Kind, _ int64, _ int) { w.kinds = append(w.kinds, kind) }}
+	return w
+}
+
+func (w *world) open(name string) *intake.Claim {
+	return w.Open(func() { w.evicted = append(w.evicted, name) })
+}
+
+// reader opens a claim that has read n bytes.
+func (w *world) reader(t require.TestingT, name string, n int64) *intake.Claim {
+	c := w.open(name)
+	require.NotNil(t, c)
+	require.True(t, c.Read())
+	require.True(t, c.Grow(n))
+	return c
+}
+
+func (w *world) pass(d time.Duration) { w.clock.now = w.clock.now.Add(d) }
+
+// TestIdleFirst guards against a connection that is refused, or closes one in use, while others are
+// idle, and against an order of idle ones by anything but the time for which they have been.
+func TestIdleFirst(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1<<30, 16)
+	var claims []*intake.Claim
+	for i := range 16 {
+		claims = append(claims, w.open(string(rune('a'+i))))
+		w.pass(time.Second)
+	}
+	require.True(t, claims[0].Read())
+	require.True(t, claims[1].Work())
+	require.True(t, claims[2].Read())
+	require.True(t, claims[2].Wait()) // its request has ended just now
+	require.NotNil(t, w.open("x"))
+	require.NotNil(t, w.open("y"))
+	require.Equal(t, []string{"d", "e"}, w.evicted)
+	require.Equal(t, []intake.Kind{intake.IdleClosed, intake.IdleClosed}, w.kinds)
+	require.False(t, claims[3].Read(), "evicted")
+}
+
+// TestConnectionsInUse guards against an accepted request that gives way to a new connection, and
+// against connections beyond the limit if nobody closes those that were evicted.
+func TestConnectionsInUse(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1<<30, 8)
+	for range 7 {
+		require.True(t, w.open("working").Work())
+	}
+	w.reader(t, "stalled", 100)
+	w.pass(intake.StallTime)
+	require.NotNil(t, w.open("new"))
+	require.Equal(t, []string{"stalled"}, w.evicted)
+	require.Nil(t, w.open("newer"), "one above the limit is not closed yet")
+	require.Equal(t, []intake.Kind{intake.StalledEvicted, intake.ConnRefused}, w.kinds)
+	_, conns := w.Used()
+	require.Equal(t, 9, conns)
+}
+
+// TestAllWorking guards against an accepted request that gives way.
+func TestAllWorking(t *testing.T) {
+	t.Parallel()
+	w := newWorld(10*intake.ConnBytes, 4)
+	for range 4 {
+		c := w.open("working")
+		require.True(t, c.Grow(intake.ConnBytes))
+		require.True(t, c.Work())
+	}
+	w.pass(time.Minute)
+	require.Nil(t, w.open("new"))
+	require.Empty(t, w.evicted)
+}
+
+// TestStalledBeforeProgress guards against a request that makes progress and gives way while another
+// one has stalled, and against small stalled requests that give way before large ones.
+func TestStalledBeforeProgress(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1<<20+4*intake.ConnBytes, 100)
+	w.reader(t, "stalled, large", 300<<10)
+	w.reader(t, "stalled, small", 100<<10)
+	w.pass(intake.StallTime)
+	w.reader(t, "in progress", 600<<10)
+	c := w.reader(t, "new", 1<<10)
+	require.True(t, c.Grow(30<<10))
+	require.Equal(t, []string{"stalled, large"}, w.evicted)
+	require.Equal(t, []intake.Kind{intake.StalledEvicted}, w.kinds)
+}
+
+// TestSmallBeforeLarge guards against a large request that keeps out a small one, or that takes the
+// place of a small one.
+func TestSmallBeforeLarge(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1<<20+3*intake.ConnBytes, 100)
+	large := w.reader(t, "large", 700<<10)
+	small := w.reader(t, "small", 300<<10)
+	require.False(t, large.Grow(100<<10))
+	require.Equal(t, []intake.Kind{intake.BytesRefused}, w.kinds)
+	require.True(t, small.Grow(100<<10))
+	require.Equal(t, []string{"large"}, w.evicted)
+	require.False(t, large.Grow(1), "evicted")
+	large.Close()
+	large.Close()
+	used, conns := w.Used()
+	require.Equal(t, int64(400<<10+intake.ConnBytes), used)
+	require.Equal(t, 1, conns)
+}
+
+// TestEvictedNotClosed guards against memory that grows without bound while a busy process has not
+// closed the claims that were evicted.
+func TestEvictedNotClosed(t *testing.T) {
+	t.Parallel()
+	const limit = 1 << 20
+	w := newWorld(limit, 100)
+	for range 50 {
+		if c := w.open("reader"); c != nil && c.Read() {
+			c.Grow(200 << 10)
+		}
+		w.pass(intake.StallTime)
+	}
+	used, _ := w.Used()
+	require.LessOrEqual(t, used, int64(limit+limit/4))
+	require.Contains(t, w.kinds, intake.BytesRefused)
+}
+
+// TestBounds draws clients that open, read, finish and close. Neither the bytes nor the connections may
+// exceed their limits by more than those of evicted claims, and no accepted request may be evicted.
+func TestBounds(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		bytes, conns := int64(rapid.IntRange(10, 100).Draw(t, "budget"))*intake.ConnBytes, rapid.IntRange(1, 40).Draw(t, "conns")
+		w := newWorld(bytes, conns)
+		type client struct {
+			claim   *intake.Claim
+			working bool
+			evicted bool
+		}
+		var clients []*client
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			w.pass(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
+			if len(clients) == 0 || rapid.IntRange(0, 3).Draw(t, "open") == 0 {
+				c := &client{}
+				c.claim = w.Open(func() {
+					require.False(t, c.working, "accepted")
+					c.evicted = true
+				})
+				if c.claim != nil {
+					clients = append(clients, c)
+				}
+			} else {
+				n := rapid.IntRange(0, len(clients)-1).Draw(t, "client")
+				c := clients[n]
+				var ok bool
+				switch rapid.SampledFrom([]string{"read", "work", "wait", "close"}).Draw(t, "does") {
+				case "read":
+					ok = c.claim.Read() && (c.claim.Grow(int64(rapid.IntRange(0, 400<<10).Draw(t, "bytes"))) || !c.evicted)
+					c.working = c.working && !ok
+				case "work":
+					ok = c.claim.Work()
+					c.working = ok
+				case "wait":
+					c.claim.ReleaseInput()
+					ok = c.claim.Wait()
+					c.working = c.working && !ok
+				case "close":
+					c.claim.Close()
+					clients = append(clients[:n], clients[n+1:]...)
+					ok = !c.evicted
+				}
+				require.Equal(t, !c.evicted, ok)
+			}
+			used, open := w.Used()
+			require.LessOrEqual(t, used, bytes+bytes/4)
+			require.LessOrEqual(t, open, conns+max(1, conns/8))
+			require.Len(t, clients, open)
+		}
+		for _, c := range clients {
+			c.claim.Close()
+		}
+		used, open := w.Used()
+		require.Zero(t, used)
+		require.Zero(t, open)
+	})
+}
+
+// TestLimitsOf checks the limits of processes from the smallest to the largest machine: connections
+// leave half of the bytes for input, and stay below the descriptors.
+func TestLimitsOf(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		mb, descriptors int
+		bytes           int64
+		conns           int
+	}{
+		{144, 3075, 36 << 20, 768},
+		{284, 3075, 71 << 20, 1437},
+		{674, 10250, 674 << 18, 3594},
+		{674, 0, 674 << 18, 3594},
+		{96, 700, 24 << 20, 250},
+		{0, 700, 1 << 40, 250},
+		{96, 100, 24 << 20, 1},
+	} {
+		bytes, conns := intake.LimitsOf(int64(test.mb)<<20, test.descriptors)
+		require.Equal(t, test.bytes, bytes)
+		require.Equal(t, test.conns, conns)
+	}
+}
--- /dev/null
+++ b/core/intake/intakehttp/body.go
@@ -0,0 +1,147 @@
+package intakehttp
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Errors of ReadBody. After each the request has not run.
+const (
+	ErrTooLarge = errors.ConstError("the body is too large")
+	ErrTooSlow  = errors.ConstError("the body is too slow")
+	ErrCapacity = errors.ConstError("no memory is left for the body")
+)
+
+const firstBody = 4 << 10 // bytes of the first buffer of a body
+
+// decodedBytes is the memory that decoding takes for one byte of a body. Integers of an array take 8
+// bytes each for two of the body, and slices that grow are held twice and have up to a quarter of room.
+const decodedBytes = 12
+
+// maxKept bounds what is kept of a body once it has been decoded.
+const maxKept = 32 << 10 // bytes
+
+// ReadBody reads and decodes the body of a request, of up to limit bytes, until ctx ends. Decode must
+// not keep its argument. The memory for both is taken from the claim of the connection, if ctx carries
+// one. ReadBody returns one of the errors above, or that of the connection or of decode.
+func ReadBody(ctx context.Context, r *http.Request, limit int64, decode func(body []byte) error) error {
+	c := connOf(r.Context())
+	if c == nil {
+		body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+		if err == nil && int64(len(body)) > limit {
+			err = ErrTooLarge
+		}
+		if err != nil {
+			return err
+		}
+		return decode(body)
+	}
+	body, err := c.readBody(ctx, r, limit)
+	if err != nil {
+		return err
+	}
+	decoding := decodedBytes * int64(len(body))
+	if !c.claim.Grow(decoding) || !c.claim.Work() {
+		return ErrCapacity
+	}
+	err = decode(body)
+	c.claim.Release(decoding + int64(cap(body)) - min(2*int64(len(body)), maxKept))
+	return err
+}
+
+// readBody reads the body of r. Its buffer doubles as bytes arrive, so that a length that is only
+// declared takes nothing.
+func (c *conn) readBody(ctx context.Context, r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength > limit {
+		c.server.observe(BodyTooLarge)
+		return nil, ErrTooLarge
+	}
+	if !c.claim.Grow(firstBody) {
+		return nil, ErrCapacity
+	}
+	body := make([]byte, 0, firstBody)
+	timeout := c.server.limits().HeaderTimeout
+	end, ends := ctx.Deadline()
+	for {
+		if len(body) == cap(body) {
+			size := min(2*int64(cap(body)), limit+1)
+			if !c.claim.Grow(size) {
+				return nil, ErrCapacity
+			}
+			grown := make([]byte, len(body), size)
+			copy(grown, body)
+			c.claim.Release(int64(cap(body)))
+			body = grown
+		}
+		next := time.Now().Add(timeout)
+		if ends && end.Before(next) {
+			next = end
+		}
+		_ = c.SetReadDeadline(next)
+		n, err := r.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > limit:
+			c.server.observe(BodyTooLarge)
+			return nil, ErrTooLarge
+		case errors.Is(err, io.EOF):
+			c.mu.Lock()
+			c.unread = false
+			c.mu.Unlock()
+			return body, c.SetReadDeadline(time.Time{})
+		case err != nil:
+			return nil, c.bodyError(err)
+		}
+		if n > 0 && !c.claim.Read() {
+			return nil, ErrCapacity
+		}
+	}
+}
+
+// bodyError returns the error for a body whose reading failed with err.
+func (c *conn) bodyError(err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var timeout interface{ Timeout() bool }
+	switch {
+	case c.evicted:
+		return ErrCapacity
+	case errors.As(err, &timeout) && timeout.Timeout():
+		c.server.observe(BodyTooSlow)
+		return ErrTooSlow
+	}
+	return err
+}
+
+// RespondError writes the reply to a request whose body could not be read, and makes the server close
+// the connection. It returns false, and writes nothing, if err is none of the errors of ReadBody.
+func RespondError(w http.ResponseWriter, err error) bool {
+	switch {
+	case errors.Is(err, ErrTooLarge):
+		refuse(w, http.StatusRequestEntityTooLarge)
+	case errors.Is(err, ErrTooSlow):
+		refuse(w, http.StatusRequestTimeout)
+	case errors.Is(err, ErrCapacity):
+		refuse(w, http.StatusServiceUnavailable)
+	default:
+		return false
+	}
+	return true
+}
+
+// retryAfter is the time after which a refused client may retry.
+const retryAfter = time.Second
+
+// refuse writes the reply to a request that is refused.
+func refuse(w http.ResponseWriter, status int) {
+	w.Header().Set("Connection", "close")
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter.Seconds())))
+	}
+	w.WriteHeader(status)
+}
--- a/core/route/config.go
+++ b/core/route/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"gypsumward/core/work"
 )
@@ -19,6 +20,10 @@
 	Routes       []Route
 	MaxBodyBytes int64 // maximum size of a request body, in bytes; zero means no limit
 
+	MaxHeaderBytes int64         // maximum size of the header of a request, in bytes; zero means the default
+	HeaderTimeout  time.Duration // time for the header of a request; zero means the default
+	IdleTimeout    time.Duration // time between requests of a connection; zero means the default
+
 	routesByHost map[string][]Route
 }
 
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -22,8 +22,8 @@
 	"gypsumward/core/cell"
 	"gypsumward/core/election"
 	"gypsumward/core/eventloop"
-	"gypsumward/core/hangup"
 	"gypsumward/core/hlc"
+	"gypsumward/core/intake"
 	"gypsumward/core/logring"
 	"gypsumward/core/mirror"
 	"gypsumward/core/monotonic"
@@ -192,22 +192,26 @@
 // serve starts the servers for clients, readiness probes and metrics.
 func (h *Host) serve(ctx context.Context, wg *sync.WaitGroup) ([]*khttp.Server, error) {
 	settings := h.settings.Current()
-	readyServer := khttp.NewServer(khttp.Address(settings.ReadyAddr), khttp.Timeout(0))
-	readyServer.HandlePrefix("/", http.HandlerFunc(h.serveReady))
-	ingressServer := khttp.NewServer(khttp.Address(settings.FrontAddr), khttp.Timeout(0))
-	ingressServer.HandlePrefix("/", &platform.Ingress{Jobs: jobService{h}, Configs: &h.configs, Draining: h.draining.Load, Delay: h.stalls.Delay, OnNoRoute: h.unmatched.record})
-	ingressServer.ReadHeaderTimeout = 5 * time.Second
-	ingressServer.IdleTimeout = time.Minute
-	ingressServer.ConnContext = hangup.WithConn
-	metricsServer := khttp.NewServer(khttp.Address(net.JoinHostPort(settings.IP, metricsPort)), khttp.Timeout(0))
-	metricsServer.Handle("/metrics", h.metrics.handler())
+	ingress := &platform.Ingress{Jobs: jobService{h}, Configs: &h.configs, Draining: h.draining.Load, Delay: h.stalls.Delay, OnNoRoute: h.unmatched.record}
+	bytes, conns := intake.LimitsOf(int64(settings.MemoryMB)<<20, settings.MaxFDs)
+	ingressServer, err := h.newServer(ctx, "front", settings.FrontAddr, ingress, h.newGate("front", bytes, conns), h.requestLimits)
+	if err != nil {
+		return nil, err
+	}
+	readyServer, err := h.newServer(ctx, "ready", settings.ReadyAddr, http.HandlerFunc(h.serveReady), h.newGate("ready", probeBytes, probeConns), nil)
+	if err != nil {
+		return nil, err
+	}
+	metrics := http.NewServeMux()
+	metrics.Handle("/metrics", h.metrics.handler())
+	metricsServer, err := h.newServer(ctx, "metrics", net.JoinHostPort(settings.IP, metricsPort), metrics, h.newGate("metrics", probeBytes, probeConns), nil)
+	if err != nil {
+		return nil, err
+	}
 	requests, end := context.WithCancel(context.WithoutCancel(ctx))
 	h.endRequests = end
 	servers := []*khttp.Server{ingressServer, readyServer, metricsServer}
 	for _, s := range servers {
-		if _, err := s.Endpoint(); err != nil {
-			return nil, errors.Trace(err)
-		}
 		wg.Go(func() { _ = s.Start(requests) })
 	}
 	return servers, nil
--- /dev/null
+++ b/gypsumward/hosted/intake.go
@@ -0,0 +1,95 @@
+package hosted
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/juju/errors"
+
+	"gypsumward/core/hangup"
+	"gypsumward/core/intake"
+	"gypsumward/core/intake/intakehttp"
+	"gypsumward/core/monotonic"
+)
+
+// Limits of the servers for readiness probes and for metrics, each of which a few clients call.
+const (
+	probeBytes = 2 << 20
+	probeConns = 32
+)
+
+// newServer returns a server whose input gate bounds. Limits may be nil.
+func (h *Host) newServer(ctx context.Context, name, addr string, handler http.Handler, gate *intake.Gate, limits func() intakehttp.Limits) (*khttp.Server, error) {
+	bounded := &intakehttp.Server{Gate: gate, Limits: limits}
+	listener, err := bounded.Listen(ctx, addr)
+	if err != nil {
+		return nil, errors.Annotate(err, name)
+	}
+	s := khttp.NewServer(khttp.Listener(listener), khttp.Address(addr), khttp.Timeout(0))
+	s.HandlePrefix("/", handler)
+	s.ConnContext = hangup.WithConn
+	bounded.Install(s.Server, s.Handler)
+	return s, nil
+}
+
+// requestLimits returns the limits of requests under the current configuration.
+func (h *Host) requestLimits() intakehttp.Limits {
+	c := h.configs.Load()
+	if c == nil {
+		return intakehttp.Limits{}
+	}
+	return intakehttp.Limits{MaxHeader: c.MaxHeaderBytes, HeaderTimeout: c.HeaderTimeout, IdleTimeout: c.IdleTimeout}
+}
+
+// newGate returns a gate of a server, whose decisions are counted and logged.
+func (h *Host) newGate(server string, bytes int64, conns int) *intake.Gate {
+	l := &intakeLog{log: log.With(h.log, "event", "intake", "server", server), server: server, metrics: h.metrics, lines: map[intake.Kind]*intakeLine{}}
+	g := &intake.Gate{Bytes: bytes, Conns: conns, Clock: monotonic.Clock{}, Observe: l.record}
+	h.metrics.gaugeIntake(server, g)
+	return g
+}
+
+// intakeLogInterval is the time between two lines for the same kind of decision of a server.
+const intakeLogInterval = time.Second
+
+// intakeLog counts the decisions against connections of a server, and logs one line a second for each
+// kind of them with their number since the line before.
+type intakeLog struct {
+	log     log.Logger
+	server  string
+	metrics *metrics
+
+	mu    sync.Mutex
+	lines map[intake.Kind]*intakeLine
+}
+
+// intakeLine is what a next line reports.
+type intakeLine struct {
+	at    time.Time // of the last line
+	count int       // decisions since then
+}
+
+// record records one decision.
+func (l *intakeLog) record(kind intake.Kind, bytes int64, conns int) {
+	l.metrics.Count("intake_"+l.server+"_"+string(kind), 1)
+	now := time.Now()
+	l.mu.Lock()
+	line := l.lines[kind]
+	if line == nil {
+		line = &intakeLine{}
+		l.lines[kind] = line
+	}
+	line.count++
+	if now.Sub(line.at) < intakeLogInterval {
+		l.mu.Unlock()
+		return
+	}
+	count := line.count
+	line.at, line.count = now, 0
+	l.mu.Unlock()
+	_ = l.log.Log("kind", kind, "count", count, "bytes", bytes, "conns", conns)
+}
--- a/gypsumward/hosted/metrics.go
+++ b/gypsumward/hosted/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"gypsumward/core/intake"
 	"gypsumward/core/monotonic"
 )
 
@@ -20,6 +21,9 @@
 	runnerReads = "runners"
 )
 
+// namespace is the prefix of the names of all metrics.
+const namespace = "gypsumward"
+
 // metrics holds the metrics of an instance. It implements cell.Metrics.
 type metrics struct {
 	registry  *prometheus.Registry
@@ -34,24 +38,24 @@
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
 		counts: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: "gypsumward", Name: "decisions_total", Help: "Decisions by kind.",
+			Namespace: namespace, Name: "decisions_total", Help: "Decisions by kind.",
 		}, []string{"kind"}),
 		durations: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Namespace: "gypsumward", Name: "took_seconds", Help: "Times by kind.",
+			Namespace: namespace, Name: "took_seconds", Help: "Times by kind.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
 		}, []string{"kind"}),
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: "gypsumward", Name: "calls_total", Help: "Calls to the platform and the runners, and calls of other instances, by name.",
+			Namespace: namespace, Name: "calls_total", Help: "Calls to the platform and the runners, and calls of other instances, by name.",
 		}, []string{"call"}),
 		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: "gypsumward", Name: "call_bytes_total", Help: "Lengths of the bodies of these calls, by name and direction.",
+			Namespace: namespace, Name: "call_bytes_total", Help: "Lengths of the bodies of these calls, by name and direction.",
 		}, []string{"call", "direction"}),
 		lastReads: map[string]*atomic.Int64{},
 	}
 	for _, dependency := range []string{configReads, noticeReads, memberReads, runnerReads} {
 		m.lastReads[dependency] = &atomic.Int64{}
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Namespace: "gypsumward", Name: "read_age_seconds", ConstLabels: prometheus.Labels{"what": dependency},
+			Namespace: namespace, Name: "read_age_seconds", ConstLabels: prometheus.Labels{"what": dependency},
 			Help: "Time since the last successful read of rows of the store; -1 before the first one.",
 		}, func() float64 { return m.ReadAge(dependency) }))
 	}
@@ -92,3 +96,18 @@
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
+
+// gaugeIntake exports the bytes and connections that the gate of a server holds.
+func (m *metrics) gaugeIntake(server string, g *intake.Gate) {
+	labels := prometheus.Labels{"server": server}
+	m.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "intake_bytes", ConstLabels: labels,
+			Help: "Memory held for connections of clients and their input.",
+		}, func() float64 { bytes, _ := g.Used(); return float64(bytes) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "intake_connections", ConstLabels: labels,
+			Help: "Connections of clients.",
+		}, func() float64 { _, conns := g.Used(); return float64(conns) }),
+	)
+}
--- a/gypsumward/reload/follower.go
+++ b/gypsumward/reload/follower.go
@@ -115,6 +115,7 @@
 		{"ports", current.PeerPorts != next.PeerPorts, false},
 		{"store", current.StoreAddr != next.StoreAddr, false},
 		{"memory", current.MemoryMB != next.MemoryMB, false},
+		{"descriptors", current.MaxFDs != next.MaxFDs, false},
 	} {
 		switch {
 		case f.differs && f.live:
