peer, hosted: bound on connections and memory of calls between instances

The server for calls between instances took 1,024 connections with messages of up to 16 MB each, and waited for the rest of a message without bound, so whoever reached its port could end the process by memory. Its connections now hold claims of a gate: what is read of a message, then the parameters of calls in flight. A call without room is refused as not run, a message closes its connection, and the rest of a message must come within 5 s. A connection with calls in flight never gives way.

--- a/core/peer/bounded.go
+++ b/core/peer/bounded.go
@@ -56,7 +56,8 @@
 	lastReceived atomic.Int64  // when bytes were last received, in nanoseconds since 1970
 	lastSent     atomic.Int64  // when bytes were last sent, in nanoseconds since 1970
 
-	readBudget int64 // bytes that may still be read for one message
+	readBudget int64      // bytes that may still be read for one message
+	claim      *connClaim // of the memory for what is read; nil if there is no bound
 }
 
 // Read reads at most the bytes left for the current message, and fails with
@@ -72,6 +73,12 @@
 	c.readBudget -= int64(n)
 	if n > 0 {
 		c.lastReceived.Store(time.Now().UnixNano())
+		if !c.claim.read(int64(n)) {
+			return 0, ErrNoMemory
+		}
+		if c.claim != nil {
+			_ = c.SetReadDeadline(time.Now().Add(messageTimeout))
+		}
 	}
 	return n, err
 }
@@ -106,6 +113,13 @@
 // ReadObject reads one message into v.
 func (s boundedStream) ReadObject(v any) error {
 	s.conn.readBudget = s.conn.maxMessage + readAhead
+	if s.conn.claim == nil {
+		return s.ObjectStream.ReadObject(v)
+	}
+	defer s.conn.claim.endRead()
+	if err := s.conn.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
 	return s.ObjectStream.ReadObject(v)
 }
 
--- a/core/peer/fault.go
+++ b/core/peer/fault.go
@@ -21,6 +21,9 @@
 // ErrTooLong is the error of a message that exceeds the size limit.
 const ErrTooLong = errors.ConstError("message is longer than the limit")
 
+// ErrNoMemory is the error of a message for which no memory is left.
+const ErrNoMemory = errors.ConstError("no memory is left for the message")
+
 // Fault is the error of a call. A handler may return one to state whether its work
 // ran.
 type Fault struct {
--- a/core/peer/server.go
+++ b/core/peer/server.go
@@ -12,6 +12,7 @@
 
 	"gypsumward/core/api"
 	"gypsumward/core/hlc"
+	"gypsumward/core/intake"
 )
 
 // Defaults of Server.
@@ -35,6 +36,11 @@
 	MaxMessage   int64         // bytes of one message; zero means DefaultMaxMessage
 	DrainTimeout time.Duration // time for calls in flight to finish when Run ends; zero means DefaultDrainTimeout
 
+	// Gate bounds the connections and the memory for messages and for the parameters of calls in
+	// flight. A call for which there is no room is refused, a message closes its connection. Nil means
+	// that only the limits above hold.
+	Gate *intake.Gate
+
 	// CallerTimeout is the time without a byte from a peer after which its connection is closed
 	// if calls of it are in flight. Zero means that it is not. The contexts of the calls in flight
 	// on a connection are canceled at once when it is closed, by either side.
@@ -132,9 +138,19 @@
 		_ = netConn.Close()
 		return
 	}
-	bounded := &boundedConn{Conn: netConn, maxMessage: s.MaxMessage, writeTimeout: DefaultWriteTimeout}
+	var claim *connClaim
+	if s.Gate != nil {
+		c := s.Gate.Open(func() { _ = netConn.Close() })
+		if c == nil {
+			_ = netConn.Close()
+			return
+		}
+		claim = &connClaim{claim: c}
+	}
+	bounded := &boundedConn{Conn: netConn, maxMessage: s.MaxMessage, writeTimeout: DefaultWriteTimeout, claim: claim}
 	handler := serverHandler{
 		server:   s,
+		claim:    claim,
 		slots:    make(chan struct{}, s.MaxCalls),
 		refusals: make(chan struct{}, s.MaxCalls),
 		running:  &sync.WaitGroup{},
@@ -145,6 +161,7 @@
 	s.conns[conn] = true
 	go func() {
 		<-conn.DisconnectNotify()
+		claim.close()
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.conns, conn)
@@ -247,6 +264,7 @@
 // serverHandler handles the messages of one connection.
 type serverHandler struct {
 	server   *Server
+	claim    *connClaim
 	slots    chan struct{} // semaphore of the calls in flight
 	refusals chan struct{} // semaphore of the refusals being sent
 	running  *sync.WaitGroup
@@ -268,6 +286,7 @@
 	h.running.Go(func() {
 		defer s.running.Done()
 		defer func() { <-h.slots }()
+		defer h.claim.endCall(paramsSize(req))
 		s.serveCall(ctx, conn, req, m)
 	})
 }
@@ -299,15 +318,27 @@
 	case req.Method != methodPing && s.handlers[req.Method] == nil:
 		return newError(jsonrpc2.CodeMethodNotFound, "no such method", notRun)
 	}
+	if !h.claim.beginCall(paramsSize(req)) {
+		return newError(CodeBusy, ErrNoMemory.Error(), notRun)
+	}
 	select {
 	case h.slots <- struct{}{}:
 		s.running.Add(1)
 		return nil
 	default:
+		h.claim.endCall(paramsSize(req))
 		return newError(CodeBusy, "too many calls in flight", notRun)
 	}
 }
 
+// paramsSize returns the length of the parameters of a call.
+func paramsSize(req *jsonrpc2.Request) int {
+	if req.Params == nil {
+		return 0
+	}
+	return len(*req.Params)
+}
+
 // serveCall runs the handler of an admitted call and sends the response.
 func (s *Server) serveCall(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, m meta) {
 	expired := false
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -227,7 +227,7 @@
 	h.plan.Store(&plan)
 	peers := &peer.Server{
 		Addr: h.self.Addr, Clock: h.client.Clock, MaxCalls: maxPeerCalls, DrainTimeout: 100 * time.Millisecond, CallerTimeout: h.callerTimeout(),
-		Delay: h.stalls.Delay, OnPanic: h.panicked, OnCall: h.countPeerCall, OnCallerLost: h.callerLost,
+		Gate: h.newPeerGate(), Delay: h.stalls.Delay, OnPanic: h.panicked, OnCall: h.countPeerCall, OnCallerLost: h.callerLost,
 	}
 	var participants []*participant
 	for i := range plan.Cells {
--- a/gypsumward/hosted/intake.go
+++ b/gypsumward/hosted/intake.go
@@ -53,6 +53,17 @@
 	return g
 }
 
+// peerPart is the part of the limits of the server for clients that the server for calls between
+// instances has. The largest plans have four standbys for each cell and one caller for each instance.
+const peerPart = 2
+
+// newPeerGate returns the gate of the server for calls between instances.
+func (h *Host) newPeerGate() *intake.Gate {
+	settings := h.settings.Current()
+	bytes, conns := intake.LimitsOf(int64(settings.MemoryMB)<<20, settings.MaxFDs)
+	return h.newGate("peers", bytes/peerPart, max(conns/peerPart, 1))
+}
+
 // intakeLogInterval is the time between two lines for the same kind of decision of a server.
 const intakeLogInterval = time.Second
 
