--- a/core/intake/intakehttp/body.go
+++ b/core/intake/intakehttp/body.go
@@ -46,7 +46,7 @@
 		return err
 	}
 	decoding := decodedBytes * int64(len(body))
-	if !c.claim.Grow(decoding) || !c.claim.Work() {
+	if !c.claim.Grow(decoding) {
 		return ErrCapacity
 	}
 	err = decode(body)
@@ -90,10 +90,10 @@
 			c.server.observe(BodyTooLarge)
 			return nil, ErrTooLarge
 		case errors.Is(err, io.EOF):
-			c.mu.Lock()
-			c.unread = false
-			c.mu.Unlock()
-			return body, c.SetReadDeadline(time.Time{})
+			if !c.ended() {
+				return nil, ErrCapacity
+			}
+			return body, nil
 		case err != nil:
 			return nil, c.bodyError(err)
 		}
@@ -103,6 +103,14 @@
 	}
 }
 
+// ended records that the end of a body has been read. It returns false if the connection has given way.
+func (c *conn) ended() bool {
+	c.mu.Lock()
+	c.unread = false
+	c.mu.Unlock()
+	return c.claim.Work() && c.SetReadDeadline(time.Time{}) == nil
+}
+
 // bodyError returns the error for a body whose reading failed with err.
 func (c *conn) bodyError(err error) error {
 	c.mu.Lock()
@@ -118,19 +126,28 @@
 	return err
 }
 
-// RespondError writes the reply to a request whose body could not be read, and makes the server close
-// the connection. It returns false, and writes nothing, if err is none of the errors of ReadBody.
-func RespondError(w http.ResponseWriter, err error) bool {
+// Status returns the status of the reply to a request whose body could not be read, or otherwise if err
+// is none of the errors of ReadBody.
+func Status(err error, otherwise int) int {
 	switch {
 	case errors.Is(err, ErrTooLarge):
-		refuse(w, http.StatusRequestEntityTooLarge)
+		return http.StatusRequestEntityTooLarge
 	case errors.Is(err, ErrTooSlow):
-		refuse(w, http.StatusRequestTimeout)
+		return http.StatusRequestTimeout
 	case errors.Is(err, ErrCapacity):
-		refuse(w, http.StatusServiceUnavailable)
-	default:
+		return http.StatusServiceUnavailable
+	}
+	return otherwise
+}
+
+// RespondError writes the reply to a request whose body could not be read, and makes the server close
+// the connection. It returns false, and writes nothing, if err is none of the errors of ReadBody.
+func RespondError(w http.ResponseWriter, err error) bool {
+	status := Status(err, 0)
+	if status == 0 {
 		return false
 	}
+	refuse(w, status)
 	return true
 }
 
@@ -145,3 +162,30 @@
 	}
 	w.WriteHeader(status)
 }
+
+// meteredCopies is how often a body is in memory that is read and decoded by a handler of its own.
+const meteredCopies = 4
+
+// meteredBody is a body whose bytes are taken from the claim of its connection as they are read. Its
+// errors are those of ReadBody.
+type meteredBody struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// Read reads into p.
+func (b meteredBody) Read(p []byte) (int, error) {
+	_ = b.conn.SetReadDeadline(time.Now().Add(b.conn.server.limits().HeaderTimeout))
+	n, err := b.ReadCloser.Read(p)
+	switch {
+	case n > 0 && (!b.conn.claim.Read() || !b.conn.claim.Grow(meteredCopies*int64(n))):
+		return 0, ErrCapacity
+	case errors.Is(err, io.EOF):
+		if !b.conn.ended() {
+			return 0, ErrCapacity
+		}
+	case err != nil:
+		return n, b.conn.bodyError(err)
+	}
+	return n, err
+}
--- a/core/intake/intakehttp/server.go
+++ b/core/intake/intakehttp/server.go
@@ -58,6 +58,10 @@
 	Gate   *intake.Gate
 	Limits func() Limits // returns the limits in force; nil stands for the defaults
 
+	// MeterBodies makes the bodies of all requests count while they are read. It is for handlers that
+	// do not use ReadBody.
+	MeterBodies bool
+
 	lingering chan struct{}
 }
 
@@ -190,6 +194,11 @@
 			refuse(w, http.StatusServiceUnavailable)
 			return
 		}
+		if s.MeterBodies && r.ContentLength != 0 {
+			metered := *r
+			metered.Body = meteredBody{r.Body, c}
+			r = &metered
+		}
 		next.ServeHTTP(w, r)
 		c.finish()
 	})
--- a/core/intake/intakehttp/server_test.go
+++ b/core/intake/intakehttp/server_test.go
@@ -54,6 +54,13 @@
 	if !hangup.Closed(r.Context()) {
 		w.Header().Set("X-Open", "yes")
 	}
+	if r.URL.Path == "/own" {
+		body, err := io.ReadAll(r.Body)
+		if !intakehttp.RespondError(w, err) {
+			_, _ = fmt.Fprint(w, len(body))
+		}
+		return
+	}
 	var size int
 	err := intakehttp.ReadBody(r.Context(), r, maxBody, func(body []byte) error { size = len(body); return nil })
 	if intakehttp.RespondError(w, err) {
@@ -63,13 +70,18 @@
 }
 
 func newHost(t *testing.T, bytes int64, conns int) *host {
+	return startHost(t, bytes, conns, false)
+}
+
+// startHost starts a host. If metered is set, all bodies count as they are read.
+func startHost(t *testing.T, bytes int64, conns int, metered bool) *host {
 	h := &host{t: t, kinds: map[intake.Kind]int{}, limits: intakehttp.Limits{MaxHeader: maxHeader, HeaderTimeout: time.Second, IdleTimeout: time.Minute}}
 	h.gate = &intake.Gate{Bytes: bytes, Conns: conns, Clock: monotonic.Clock{}, Observe: func(kind intake.Kind, _ int64, _ int) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.kinds[kind]++
 	}}
-	s := &intakehttp.Server{Gate: h.gate, Limits: func() intakehttp.Limits {
+	s := &intakehttp.Server{Gate: h.gate, MeterBodies: metered, Limits: func() intakehttp.Limits {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		return h.limits
@@ -273,6 +285,25 @@
 	require.True(t, h.seen(intake.StalledEvicted))
 }
 
+// TestMeteredBody guards against bodies of handlers that read them without ReadBody, and are in no bound.
+func TestMeteredBody(t *testing.T) {
+	t.Parallel()
+	h := startHost(t, 4*intake.ConnBytes+100_000, 100, true)
+	h.setLimits(intakehttp.Limits{HeaderTimeout: 300 * time.Millisecond})
+	for range 2 {
+		c := h.dial()
+		for range 2 {
+			c.send("POST /own HTTP/1.1\r\nHost: h\r\nContent-Length: 20000\r\n\r\n" + strings.Repeat("b", 20000))
+			c.expect(200)
+		}
+		c.send(fmt.Sprintf("POST /own HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", maxBody, strings.Repeat("b", maxBody)))
+		c.expect(503)
+	}
+	c := h.dial()
+	c.send("POST /own HTTP/1.1\r\nHost: h\r\nContent-Length: 20000\r\n\r\nb")
+	c.expect(408)
+}
+
 // TestConnections guards against connections beyond the limit: the longest idle one is closed for a new
 // one, and if none is, the new one gets 503.
 func TestConnections(t *testing.T) {
--- a/core/meter/meter.go
+++ b/core/meter/meter.go
@@ -50,6 +50,7 @@
 	refusals                                     *prometheus.CounterVec
 	messages                                     *prometheus.CounterVec
 	storeCalls                                   *prometheus.CounterVec
+	intake                                       *prometheus.CounterVec
 	requestDuration, jobDuration                 *prometheus.HistogramVec
 	waitDuration, runDuration                    prometheus.Histogram
 	storeDuration                                *prometheus.HistogramVec
@@ -75,6 +76,7 @@
 		refusals:        newCounterVec("refusals_total", "Refusals and failures by reason and whether the work ran.", "reason", "ran"),
 		messages:        newCounterVec("messages_total", "Messages sent by purpose; useful=false had no part in an answer.", "purpose", "useful"),
 		storeCalls:      newCounterVec("store_calls_total", "Calls of the platform's table and object store.", "call", "outcome"),
+		intake:          newCounterVec("intake_total", "Connections and requests refused or closed for lack of room or time, by server and kind.", "server", "kind"),
 		requestDuration: newHistogramVec("request_seconds", "Time from the arrival of a request to its answer.", "team"),
 		jobDuration:     newHistogramVec("job_seconds", "Time from the arrival of a job to its recorded answer.", "team"),
 		storeDuration:   newHistogramVec("store_seconds", "Time of a call of the platform's store.", "call"),
@@ -84,7 +86,7 @@
 		doubleStarts:    newCounter("double_starts_total", "Tasks that a target reported as started twice. Must stay zero."),
 		settingsRefused: newCounter("settings_refused_total", "Settings trees that were refused as a whole."),
 	}
-	r.registry.MustRegister(r.requests, r.jobs, r.tasks, r.refusals, r.messages, r.storeCalls,
+	r.registry.MustRegister(r.requests, r.jobs, r.tasks, r.refusals, r.messages, r.storeCalls, r.intake,
 		r.requestDuration, r.jobDuration, r.storeDuration, r.waitDuration, r.runDuration, r.jobsTakenOver, r.doubleStarts, r.settingsRefused,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return r
@@ -182,6 +184,13 @@
 	}
 }
 
+// CountIntake counts a decision of a server against a connection or a request that is being read.
+func (r *Recorder) CountIntake(server, kind string) {
+	if r != nil {
+		r.intake.WithLabelValues(server, kind).Inc()
+	}
+}
+
 // teamLabel returns the label of a team: its name with invalid UTF-8 replaced, or Other
 // if MaxTeams other teams have been counted.
 func (r *Recorder) teamLabel(name string) string {
--- a/core/settings/httpapi/handler.go
+++ b/core/settings/httpapi/handler.go
@@ -20,6 +20,7 @@
 
 	"gypsumward/core/api"
 	"gypsumward/core/check"
+	"gypsumward/core/intake/intakehttp"
 	"gypsumward/core/settings"
 	"gypsumward/core/span"
 )
@@ -87,7 +88,11 @@
 func (h *Handler) postChange(c http.Context) error {
 	body, err := io.ReadAll(nethttp.MaxBytesReader(nil, c.Request().Body, MaxBodyBytes))
 	if err != nil {
-		return c.JSON(nethttp.StatusRequestEntityTooLarge, refusalNotRun(api.ReasonInvalid, err.Error()))
+		status := intakehttp.Status(err, nethttp.StatusRequestEntityTooLarge)
+		if status == nethttp.StatusServiceUnavailable {
+			c.Response().Header().Set("Retry-After", "1")
+		}
+		return c.JSON(status, refusalNotRun(api.ReasonInvalid, err.Error()))
 	}
 	var change settings.Change
 	if refused := check.Decode(body, &change); refused != nil {
--- a/gypsumward/auth/guard.go
+++ b/gypsumward/auth/guard.go
@@ -12,6 +12,7 @@
 	"gypsumward/core/access"
 	"gypsumward/core/api"
 	"gypsumward/core/check"
+	"gypsumward/core/intake/intakehttp"
 	"gypsumward/core/settings"
 	"gypsumward/core/settings/httpapi"
 )
@@ -102,7 +103,11 @@
 func (g *Guard) serveChange(w http.ResponseWriter, r *http.Request, next http.Handler, key *access.Key) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, httpapi.MaxBodyBytes))
 	if err != nil {
-		g.refuse(w, http.StatusRequestEntityTooLarge, "the body was cut off or is too large")
+		status := intakehttp.Status(err, http.StatusRequestEntityTooLarge)
+		if status == http.StatusServiceUnavailable {
+			w.Header().Set("Retry-After", "1")
+		}
+		g.refuse(w, status, "the body was cut off, is too large or too slow, or no memory is left for it")
 		return
 	}
 	var change settings.Change
--- a/gypsumward/hosted/intake.go
+++ b/gypsumward/hosted/intake.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
-	"time"
 
 	"github.com/go-kit/log"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
@@ -13,6 +11,7 @@
 	"gypsumward/core/hangup"
 	"gypsumward/core/intake"
 	"gypsumward/core/intake/intakehttp"
+	"gypsumward/core/intake/report"
 	"gypsumward/core/monotonic"
 )
 
@@ -47,8 +46,11 @@
 
 // newGate returns a gate of a server, whose decisions are counted and logged.
 func (h *Host) newGate(server string, bytes int64, conns int) *intake.Gate {
-	l := &intakeLog{log: log.With(h.log, "event", "intake", "server", server), server: server, metrics: h.metrics, lines: map[intake.Kind]*intakeLine{}}
-	g := &intake.Gate{Bytes: bytes, Conns: conns, Clock: monotonic.Clock{}, Observe: l.record}
+	r := &report.Reporter{
+		Log:   log.With(h.log, "event", "intake", "server", server),
+		Count: func(kind intake.Kind) { h.metrics.Count("intake_"+server+"_"+string(kind), 1) },
+	}
+	g := &intake.Gate{Bytes: bytes, Conns: conns, Clock: monotonic.Clock{}, Observe: r.Record}
 	h.metrics.gaugeIntake(server, g)
 	return g
 }
@@ -63,44 +65,3 @@
 	bytes, conns := intake.LimitsOf(int64(settings.MemoryMB)<<20, settings.MaxFDs)
 	return h.newGate("peers", bytes/peerPart, max(conns/peerPart, 1))
 }
-
-// intakeLogInterval is the time between two lines for the same kind of decision of a server.
-const intakeLogInterval = time.Second
-
-// intakeLog counts the decisions against connections of a server, and logs one line a second for each
-// kind of them with their number since the line before.
-type intakeLog struct {
-	log     log.Logger
-	server  string
-	metrics *metrics
-
-	mu    sync.Mutex
-	lines map[intake.Kind]*intakeLine
-}
-
-// intakeLine is what a next line reports.
-type intakeLine struct {
-	at    time.Time // of the last line
-	count int       // decisions since then
-}
-
-// record records one decision.
-func (l *intakeLog) record(kind intake.Kind, bytes int64, conns int) {
-	l.metrics.Count("intake_"+l.server+"_"+string(kind), 1)
-	now := time.Now()
-	l.mu.Lock()
-	line := l.lines[kind]
-	if line == nil {
-		line = &intakeLine{}
-		l.lines[kind] = line
-	}
-	line.count++
-	if now.Sub(line.at) < intakeLogInterval {
-		l.mu.Unlock()
-		return
-	}
-	count := line.count
-	line.at, line.count = now, 0
-	l.mu.Unlock()
-	_ = l.log.Log("kind", kind, "count", count, "bytes", bytes, "conns", conns)
-}
--- a/gypsumward/main.go
+++ b/gypsumward/main.go
@@ -134,7 +134,11 @@
 		Jobs: n.Owner, Requests: n.Forward, Teams: n.Teams, Observer: instrument.Calls{Meter: n.Meter}, Events: n.Events,
 		Status: n.Status, Ready: n.Ready, MaxBodyBytes: int64(c.Limits.Body),
 	}
-	options := []http.ServerOption{http.Address(c.Addr), http.Timeout(0)}
+	input, err := newInput(n)
+	if err != nil {
+		return err
+	}
+	options := []http.ServerOption{http.Address(c.Addr), http.Listener(input.listener), http.Timeout(0)}
 	if keys != nil {
 		g := &auth.Guard{Keys: keys.Keys, OnRefusal: func(r api.Refusal) { n.Meter.CountRefusal(r.Reason, r.Ran) }}
 		s.Access = g
@@ -148,6 +152,7 @@
 	s.Mount(h)
 	h.Handle("/metrics", n.Meter.Handler())
 	(&httpapi.Handler{Store: n.Store, Active: n.Active}).Register(h)
+	input.server.Install(h.Server, h.Handler)
 	app := kratos.New(
 		kratos.Name("gypsumward"),
 		kratos.ID(n.ID),
--- a/gypsumward/server/server.go
+++ b/gypsumward/server/server.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/juju/errors"
 
 	"gypsumward/core/api"
 	"gypsumward/core/check"
+	"gypsumward/core/intake/intakehttp"
 	"gypsumward/core/span"
 )
 
@@ -214,12 +216,24 @@
 // decode decodes the JSON body of a call, of up to s.MaxBodyBytes, into target.
 func (s *Server) decode(c http.Context, target any) *api.Refusal {
 	body, err := io.ReadAll(nethttp.MaxBytesReader(nil, c.Request().Body, s.MaxBodyBytes))
-	if err != nil {
+	switch {
+	case errors.Is(err, intakehttp.ErrCapacity):
+		c.Response().Header().Set("Retry-After", "1")
+		return &api.Refusal{Reason: api.ReasonFull, Detail: detailNoMemory, Ran: api.RanNot}
+	case errors.Is(err, intakehttp.ErrTooSlow):
+		return &api.Refusal{Reason: api.ReasonInvalid, Detail: detailTooSlow, Ran: api.RanNot}
+	case err != nil:
 		return &api.Refusal{Reason: api.ReasonInvalid, Detail: detailTooLarge, Ran: api.RanNot}
 	}
 	return check.Decode(body, target)
 }
 
+// Details of refusals that refusalStatus maps to statuses 503 and 408.
+const (
+	detailNoMemory = "no memory of this instance is left for the body"
+	detailTooSlow  = "the body came too slowly"
+)
+
 // detailTooLarge is the detail of refusals that refusalStatus maps to status 413.
 const detailTooLarge = "the body was cut off or is larger than the limit of this instance"
 
@@ -271,8 +285,13 @@
 
 // refusalStatus returns the HTTP status of a refusal.
 func refusalStatus(r *api.Refusal) int {
-	if r.Detail == detailTooLarge {
+	switch r.Detail {
+	case detailTooLarge:
 		return nethttp.StatusRequestEntityTooLarge
+	case detailNoMemory:
+		return nethttp.StatusServiceUnavailable
+	case detailTooSlow:
+		return nethttp.StatusRequestTimeout
 	}
 	if r.Ran == api.RanUnknown {
 		return nethttp.StatusGatewayTimeout
