--- a/gypsumward/hosted/metrics.go
+++ b/gypsumward/hosted/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"gypsumward/core/intake"
 	"gypsumward/core/monotonic"
 )
 
@@ -20,7 +21,7 @@
 	runnerReads = "runners"
 )
 
-// namespace is the first part of the names of all metrics.
+// namespace is the prefix of the names of all metrics.
 const namespace = "gypsumward"
 
 // metrics holds the metrics of an instance. It implements cell.Metrics.
@@ -97,3 +98,18 @@
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
+
+// gaugeIntake exports the bytes and connections that the gate of a server holds.
+func (m *metrics) gaugeIntake(server string, g *intake.Gate) {
+	labels := prometheus.Labels{"server": server}
+	m.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "intake_bytes", ConstLabels: labels,
+			Help: "Memory held for connections of clients and their input.",
+		}, func() float64 { bytes, _ := g.Used(); return float64(bytes) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "intake_connections", ConstLabels: labels,
+			Help: "Connections of clients.",
+		}, func() float64 { _, conns := g.Used(); return float64(conns) }),
+	)
+}
