--- a/core/intake/gate_test.go
+++ b/core/intake/gate_test.go
@@ -83,6 +83,22 @@
 	require.Equal(t, 9, conns)
 }
 
+// TestLongReaders guards against new connections that displace requests which are only just being sent,
+// and against requests that hold a connection for as long as they send a byte now and then.
+func TestLongReaders(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1<<30, 2)
+	long := w.reader(t, "long", 100)
+	w.pass(intake.StallTime - time.Millisecond)
+	w.reader(t, "short", 200)
+	require.True(t, long.Read())
+	require.Nil(t, w.open("new"))
+	w.pass(time.Millisecond)
+	require.NotNil(t, w.open("newer"))
+	require.Equal(t, []string{"long"}, w.evicted)
+	require.Equal(t, []intake.Kind{intake.ConnRefused, intake.LargeEvicted}, w.kinds)
+}
+
 // TestAllWorking guards against an accepted request that gives way.
 func TestAllWorking(t *testing.T) {
 	t.Parallel()
--- a/core/peer/intake_test.go
+++ b/core/peer/intake_test.go
@@ -105,7 +105,7 @@
 		go func() {
 			_ = i.Serve(t.Context(), &singleListener{conns: make(chan net.Conn, 1), conn: remote, ctx: t.Context()})
 		}()
-		_, err := io.WriteString(local, "Content-Length: 100\r\n\r\nx")
+		_, err := io.WriteString(local, "Content-Length: 100\r\n\r\n\"x")
 		require.NoError(t, err)
 		begin := time.Now()
 		requireClosed(t, local)
