intake, platform: small values of limits.max_fds

A file with fewer than 256 descriptors ended the program, though such a process could serve: it now keeps an eighth of them for connections of clients.

--- a/core/intake/limits.go
+++ b/core/intake/limits.go
@@ -7,6 +7,7 @@
 	connsPart       = 2   // of these bytes for connections without input, so that they leave room for it
 	fileDescriptors = 200 // for files
 	socketsPart     = 2   // of the other descriptors; the rest is for connections that the process opens itself
+	smallPart       = 8   // of all descriptors, if there are hardly more than those for files
 )
 
 // LimitsOf returns the bytes and the number of connections of clients for a process with the given
@@ -18,7 +19,7 @@
 	}
 	conns = int(bytes / connsPart / ConnBytes)
 	if descriptors > 0 {
-		conns = min(conns, max(descriptors-fileDescriptors, 0)/socketsPart)
+		conns = min(conns, max((descriptors-fileDescriptors)/socketsPart, descriptors/smallPart))
 	}
 	return bytes, max(conns, 1)
 }
