cell: a runner that hangs some runs stays in use

A hung run made its runner back off, also if other runs there succeeded: in a full fleet that takes room which callers need.

--- a/core/cell/hung.go
+++ b/core/cell/hung.go
@@ -17,6 +17,10 @@
 // there again.
 const avoidTime = 2 * time.Second
 
+// hungRestTime is the time since the last success of a runner after which a run that hangs there makes it back
+// off. One that hangs only some of its runs still does work that a full fleet needs.
+const hungRestTime = time.Second
+
 // isHung reports whether x has made no progress for so long that it must be taken to hang. Members of a
 // gang make none before all are present, and a resumed run none before it is restored.
 func (c *Cell) isHung(x *run) bool {
@@ -35,12 +39,12 @@
 }
 
 // stopIfHung stops a run that hangs, whether there is room elsewhere or not: it holds room that another
-// task can use. Its runner backs off. It reports whether it did.
+// task can use. It reports whether it did.
 func (c *Cell) stopIfHung(now time.Time, x *run) bool {
 	if c.draining || !c.isHung(x) {
 		return false
 	}
-	if r := x.runner; !r.health.isBackingOff(now) { // several runs hang at once
+	if r := x.runner; now.Sub(r.health.successAt) > hungRestTime && !r.health.isBackingOff(now) {
 		r.health.recordFailure(now)
 	}
 	x.task.triedRunners = append(x.task.triedRunners, x.runner.ID)
