--- a/core/cell/former.go
+++ b/core/cell/former.go
@@ -24,7 +24,7 @@
 // formerTerm is a term whose holder may have left runs that this one does not know.
 type formerTerm struct {
 	EarlierTerm
-	told bool // its holder has said on which runners it may have runs, and extends no lease any more
+	reported bool // its holder has said on which runners it may have runs, and extends no lease any more
 }
 
 // formerTerms returns the terms of former holders that may have left runs when the term t begins at
@@ -78,7 +78,7 @@
 	if f.Open || now.Before(f.End) {
 		f.End = now
 	}
-	f.told, f.Open = true, false
+	f.reported, f.Open = true, false
 }
 
 // addOccupied adds runners on which a former holder may have left something.
@@ -120,7 +120,7 @@
 	listed := c.directorySet()
 	known, lapsed := true, true // lapsed: the leases of stored jobs, in all terms that are left
 	c.former = slices.DeleteFunc(c.former, func(f formerTerm) bool {
-		runnersKnown := f.told || (f.Runners != 0 && f.Runners == listed)
+		runnersKnown := f.reported || (f.Runners != 0 && f.Runners == listed)
 		over := !now.Before(f.End.Add(c.Settings.longestLease()))
 		gone := (runnersKnown && allSynced && synced > 0) || (over && !f.Open)
 		known = known && runnersKnown
--- a/core/cell/rush_test.go
+++ b/core/cell/rush_test.go
@@ -171,13 +171,13 @@
 
 // badRunners plays a load that fills the runners nearly, while three of the 16 are bad, and returns the sum
 // over the queues and some seeds.
-func badRunners(spoil func(*simRunner)) rushResult {
+func badRunners(degrade func(*simRunner)) rushResult {
 	total := rushResult{}
 	for seed := range uint64(6) {
 		results := playRush(seed+1, 1.7, 6*time.Second, func(w *world) {
 			w.rushAttempts = 2
 			for _, id := range []string{"r3", "r7", "r11"} {
-				spoil(w.runners[id])
+				degrade(w.runners[id])
 			}
 		})
 		for _, q := range rushQueues {
--- a/core/proxy/end.go
+++ b/core/proxy/end.go
@@ -36,10 +36,10 @@
 		return
 	}
 	m := handed{l.Term.Epoch, occupied, complete}
-	told, until := l.Term.Epoch, time.Time{}
+	reported, until := l.Term.Epoch, time.Time{}
 	for ctx.Err() == nil && (until.IsZero() || p.Clock.Now().Before(until)) {
 		changed := p.Elector.Changed()
-		if h, epoch, _ := p.Elector.Holder(); epoch > told {
+		if h, epoch, _ := p.Elector.Holder(); epoch > reported {
 			if until.IsZero() {
 				until = p.Clock.Now().Add(endReportTime)
 			}
@@ -48,7 +48,7 @@
 				continue
 			}
 			_ = p.Log.Log("event", "reportedend", "to", h.Node, "epoch", m.Epoch, "runners", len(m.Occupied))
-			told = epoch
+			reported = epoch
 		}
 		p.awaitChange(ctx, changed, until)
 	}
