lookup, hosted: a bound of the reads that calls about unknown jobs cause

What callers saw: under clients that query jobs which do not exist, a process opened more descriptors than limits.max_fds, and other calls failed. Cause: a query of a job that no holder knows makes four reads of the store, each on a connection of its own if more than eight are in progress, and nothing bounded them.

--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -26,6 +26,7 @@
 	"gypsumward/core/hlc"
 	"gypsumward/core/intake"
 	"gypsumward/core/logring"
+	"gypsumward/core/lookup"
 	"gypsumward/core/mirror"
 	"gypsumward/core/monotonic"
 	"gypsumward/core/notice"
@@ -77,6 +78,7 @@
 	plan         atomic.Pointer[shard.Plan]
 	cells        atomic.Pointer[[]*participant] // by cell number; nil until the plan is known
 	store        *platform.Store
+	lookups      *lookup.Store // reads of rows that calls of clients cause
 	runnerClient *platform.RunnerClient
 	adviser      *platform.Adviser
 	client       *peer.Client
@@ -99,6 +101,7 @@
 	h.settings.Log, h.settings.Changed = h.log, h.applyBounds
 	h.settings.Load = func() (*platform.Settings, error) { return platform.Load(os.Getenv(platform.SettingsPathEnv)) }
 	h.store = &platform.Store{Client: platform.NewClient(storeConns), Addr: s.StoreAddr}
+	h.lookups = &lookup.Store{Rows: h.store, OnRefused: func() { h.metrics.Count("lookups_refused", 1) }}
 	h.runnerClient = &platform.RunnerClient{Client: platform.NewClient(runnerConns)}
 	h.adviser = &platform.Adviser{Client: platform.NewClient(1), Addr: s.AdviserAddr}
 	for _, c := range []*platform.Client{h.store.Client, h.runnerClient.Client, h.adviser.Client} {
--- a/gypsumward/hosted/participant.go
+++ b/gypsumward/hosted/participant.go
@@ -63,7 +63,7 @@
 	}
 	p.elector = election.New(p.name, election.Settings{PollInterval: pollInterval})
 	p.proxy = &proxy.Proxy{
-		Cell: p.name, Zone: c.Zone, Self: h.self, Elector: p.elector, Client: h.client, Store: h.store, Clock: h.clock,
+		Cell: p.name, Zone: c.Zone, Self: h.self, Elector: p.elector, Client: h.client, Store: h.lookups, Clock: h.clock,
 		Log: p.log, HeldCells: h.cellsHeld, NewLoop: func(t election.Term) *eventloop.Loop { return h.newLoop(p, t) },
 		ResubmitAfter: h.bounds().ResubmitAfter, Count: h.metrics.Count,
 	}
