intake: connections whose clients do not read or send requests ahead give way

What callers saw: under clients that read no replies, or that send each call before they have the reply to the one before, ordinary calls got 503 or a reset, for as long as the clients went on. Cause: a connection with a complete request never gave way, also if only its client held it, and one with the next request already sent is never between requests, so never idle. All connections of the process were such.

A write that is pending for 0.5 s now makes a connection the first to give way, and a request that had arrived before the reply to the one before makes it give way after idle and stalled ones. Both are closed without a reply: a client that reads nothing would not see it, and the request that is being handled may have run. Connections that are closed at once no longer count towards the connections, only towards the bytes; waiting for their handlers let in too few new connections, and the ordinary ones were refused with the crowd's. Connections between requests for less than 0.1 s give way last: under this load a process reads what has arrived up to that late.

--- a/core/intake/claim.go
+++ b/core/intake/claim.go
@@ -1,6 +1,9 @@
 package intake
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // state is what a connection does.
 type state int
@@ -14,23 +17,55 @@
 // Claim is the part of a Gate that one connection holds. Its methods that return a bool return false
 // once the claim has been evicted.
 type Claim struct {
-	gate    *Gate
-	evict   func()
-	state   state
-	bytes   int64
-	began   time.Time // of the first byte of the request
-	last    time.Time // of the last byte, or of the last change to waiting
-	evicted bool
-	closed  bool
+	gate      *Gate
+	evict     func(Kind)
+	state     state
+	pipelined bool // the request had arrived before the reply to the one before
+	bytes     int64
+	began     time.Time // of the first byte of the request
+	last      time.Time // of the last byte, or of the last change to waiting
+	evicted   bool
+	detached  bool // evicted, and the connection is closed
+	closed    bool
+
+	opened  time.Time
+	writing atomic.Int64 // time from opened to the begin of the pending write, in nanoseconds; negative if there is none
 }
 
 // Read records that a byte of a request has arrived.
 func (c *Claim) Read() bool { return c.change(reading) }
 
 // Work records that the request has been read completely and is being carried out. From then on the
-// claim is not evicted.
+// claim is evicted only if a write is pending for long.
 func (c *Claim) Work() bool { return c.change(working) }
 
+// WorkPipelined is like Work for a request that had arrived before the reply to the one before it. Its
+// claim is also evicted for a new connection, with PipelinedClosed.
+func (c *Claim) WorkPipelined() bool {
+	if !c.change(working) {
+		return false
+	}
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	c.pipelined = true
+	return true
+}
+
+// BeginWrite records that a write to the client has begun, which lasts for as long as the client does not
+// read what was sent before.
+func (c *Claim) BeginWrite() { c.writing.Store(int64(c.gate.Clock.Now().Sub(c.opened))) }
+
+// EndWrite records the end of a write.
+func (c *Claim) EndWrite() { c.writing.Store(noWrite) }
+
+const noWrite = -1
+
+// unread reports whether the client has not read what is sent to it for at least StallTime.
+func (c *Claim) unread(now time.Time) bool {
+	begin := c.writing.Load()
+	return begin != noWrite && now.Sub(c.opened)-time.Duration(begin) >= StallTime
+}
+
 // Wait records the end of a request, or that a client need not be waited for any longer.
 func (c *Claim) Wait() bool { return c.change(waiting) }
 
@@ -44,7 +79,7 @@
 	if c.state == waiting {
 		c.began = c.last
 	}
-	c.state = to
+	c.state, c.pipelined = to, false
 	return true
 }
 
@@ -65,9 +100,7 @@
 		g.observe(BytesRefused)
 	}
 	g.mu.Unlock()
-	for _, v := range victims {
-		v.evict()
-	}
+	victims.run()
 	return ok
 }
 
@@ -104,7 +137,10 @@
 	c.release(c.bytes)
 	c.closed = true
 	delete(g.claims, c)
-	if c.evicted {
+	switch {
+	case c.detached:
+		g.detached--
+	case c.evicted:
 		g.evicted--
 	}
 }
--- a/core/intake/doc.go
+++ b/core/intake/doc.go
@@ -10,11 +10,12 @@
 // A connection has a Claim, which covers the memory of the connection itself and of its input. If a
 // claim needs more than is left, other claims are evicted for it in this order:
 //
-//   - for bytes: those that have stalled, the largest first, then those that are larger than the claim
-//     would be, the largest first;
-//   - for a connection: idle ones, the longest idle first, then those that have stalled, the longest
-//     stalled first, then the largest of those that have taken long.
+//   - for bytes: those that have stalled, or whose clients do not read, the largest first, then those that
+//     are larger than the claim would be, the largest first;
+//   - for a connection: those whose clients do not read, then idle ones, the longest idle first, then those
+//     that have stalled, the longest stalled first, then those with requests sent ahead, then those
+//     between requests for a moment only, then the largest of those that have taken long.
 //
-// A claim whose request has been read completely is never evicted. No share is kept for an address,
-// since many callers may be behind one.
+// The claim of any other request that has been read completely is never evicted. No share is kept for an
+// address, since many callers may be behind one.
 package intake
--- a/core/intake/gate.go
+++ b/core/intake/gate.go
@@ -15,18 +15,28 @@
 // way are sent again within 0.2 to 0.4 s.
 const StallTime = 500 * time.Millisecond
 
+// IdleGrace is the time without a byte within which a connection between requests gives way last: a request
+// may be on its way, or have arrived at a process that is too busy to have read it.
+const IdleGrace = 100 * time.Millisecond
+
 // Kind is a kind of decision.
 type Kind string
 
 // The kinds of decisions of a Gate.
 const (
-	IdleClosed     Kind = "idle_closed"     // an idle connection was closed for another one
-	StalledEvicted Kind = "stalled_evicted" // a request that had stalled gave way
-	LargeEvicted   Kind = "large_evicted"   // a request gave way to a smaller one
-	ConnRefused    Kind = "conn_refused"    // a connection was refused
-	BytesRefused   Kind = "bytes_refused"   // input was refused
+	IdleClosed      Kind = "idle_closed"      // an idle connection was closed for another one
+	UnreadClosed    Kind = "unread_closed"    // a connection whose client does not read was closed
+	PipelinedClosed Kind = "pipelined_closed" // a connection with requests sent ahead was closed
+	StalledEvicted  Kind = "stalled_evicted"  // a request that had stalled gave way
+	LargeEvicted    Kind = "large_evicted"    // a request gave way to a smaller one
+	ConnRefused     Kind = "conn_refused"     // a connection was refused
+	BytesRefused    Kind = "bytes_refused"    // input was refused
 )
 
+// Closes reports whether a connection that gives way with this kind is closed at once, since its client
+// has no request to which a refusal could reply, or would not read it.
+func (k Kind) Closes() bool { return k == IdleClosed || k == UnreadClosed || k == PipelinedClosed }
+
 // Gate holds the claims of a process or of one of its servers. Its exported fields must be set before
 // the first call. It is safe for concurrent use.
 type Gate struct {
@@ -42,7 +52,8 @@
 	claims       map[*Claim]struct{}
 	used         int64 // bytes of all claims
 	evictedBytes int64 // of used, those of evicted claims that are not closed yet
-	evicted      int   // evicted claims that are not closed yet
+	evicted      int   // evicted claims whose connections are not closed yet
+	detached     int   // evicted claims whose connections are closed
 }
 
 // Parts of the limits by which evicted claims that have not been closed yet may exceed them. Without
@@ -53,16 +64,19 @@
 )
 
 // Open returns a claim for a new connection, or nil if there is no room for it. The claim is idle. If
-// it gives way to another one later, evict is called, once, and the holder of the claim must close it
-// soon. Evict must not block.
-func (g *Gate) Open(evict func()) *Claim {
+// it gives way to another one later, evict is called, once, with the kind of the decision. If the kind
+// Closes, evict must close the connection. The holder of the claim must close that soon. Evict must not
+// block.
+func (g *Gate) Open(evict func(Kind)) *Claim {
 	c := &Claim{gate: g, evict: evict}
 	g.mu.Lock()
 	now := g.Clock.Now()
-	c.last = now
-	var victims []*Claim
-	room := len(g.claims) < g.Conns+max(1, g.Conns/evictedConnsPart)
-	if room && len(g.claims)-g.evicted >= g.Conns {
+	c.last, c.opened = now, now
+	c.EndWrite()
+	var victims evictions
+	conns := len(g.claims) - g.detached
+	room := conns < g.Conns+max(1, g.Conns/evictedConnsPart)
+	if room && conns-g.evicted >= g.Conns {
 		victim, kind := g.connVictim(now)
 		if room = victim != nil; room {
 			victims = g.evictLocked(victims, victim, kind)
@@ -82,45 +96,70 @@
 		g.observe(ConnRefused)
 	}
 	g.mu.Unlock()
-	for _, v := range victims {
-		v.evict()
-	}
+	victims.run()
 	if !room {
 		return nil
 	}
 	return c
 }
 
-// Used returns the bytes that the claims hold and their number.
+// Used returns the bytes that the claims hold and the number of their open connections.
 func (g *Gate) Used() (bytes int64, conns int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.used, len(g.claims)
+	return g.used, len(g.claims) - g.detached
 }
 
 // connVictim returns the claim that gives way to a new connection, or nil if there is none.
 func (g *Gate) connVictim(now time.Time) (*Claim, Kind) {
-	var idle, stalled, large *Claim
+	var unread, idle, stalled, pipelined, recent, large *Claim
 	for c := range g.claims {
+		if c.evicted {
+			continue
+		}
+		if c.unread(now) {
+			unread = earlier(unread, c)
+			continue
+		}
+		silence := now.Sub(c.last)
 		switch {
-		case c.evicted || c.state == working:
+		case c.state == working && c.pipelined:
+			pipelined = earlier(pipelined, c)
+		case c.state == working:
+		case c.state == waiting && silence < IdleGrace:
+			recent = earlier(recent, c)
 		case c.state == waiting:
 			idle = earlier(idle, c)
-		case now.Sub(c.last) >= StallTime:
+		case silence >= StallTime:
 			stalled = earlier(stalled, c)
 		case now.Sub(c.began) >= StallTime && (large == nil || c.bytes > large.bytes):
 			large = c
 		}
 	}
-	switch {
-	case idle != nil:
-		return idle, IdleClosed
-	case stalled != nil:
-		return stalled, StalledEvicted
+	for _, v := range []eviction{{unread, UnreadClosed}, {idle, IdleClosed}, {stalled, StalledEvicted}, {pipelined, PipelinedClosed}, {recent, IdleClosed}} {
+		if v.claim != nil {
+			return v.claim, v.kind
+		}
 	}
 	return large, LargeEvicted
 }
 
+// eviction is a claim that gives way, and why.
+type eviction struct {
+	claim *Claim
+	kind  Kind
+}
+
+// evictions are claims that have been marked as evicted.
+type evictions []eviction
+
+// run calls the functions of the claims. The caller must not hold the lock of the gate.
+func (l evictions) run() {
+	for _, v := range l {
+		v.claim.evict(v.kind)
+	}
+}
+
 // earlier returns that of two claims which has been without a byte for longer. The first may be nil.
 func earlier(a, b *Claim) *Claim {
 	if a == nil || b.last.Before(a.last) {
@@ -131,7 +170,7 @@
 
 // makeRoom evicts claims, which it appends to victims, until c can have n bytes more. It evicts none
 // and returns false if that is not possible.
-func (g *Gate) makeRoom(victims []*Claim, c *Claim, n int64, now time.Time) ([]*Claim, bool) {
+func (g *Gate) makeRoom(victims evictions, c *Claim, n int64, now time.Time) (evictions, bool) {
 	missing := g.used - g.evictedBytes + n - g.Bytes
 	if missing > 0 && missing > g.evictableFor(c, n, now) || g.used+n > g.Bytes+g.Bytes/evictedBytesPart {
 		return victims, false
@@ -147,7 +186,13 @@
 // givesWay reports whether other gives way to c, if that needs n bytes more, and whether because it
 // has stalled.
 func givesWay(other, c *Claim, n int64, now time.Time) (gives, stalled bool) {
-	if other == c || other.evicted || other.state != reading {
+	if other == c || other.evicted {
+		return false, false
+	}
+	if other.unread(now) {
+		return true, true
+	}
+	if other.state != reading {
 		return false, false
 	}
 	stalled = now.Sub(other.last) >= StallTime
@@ -178,23 +223,30 @@
 			victim, victimStalled = other, stalled
 		}
 	}
-	if victimStalled {
-		return victim, StalledEvicted
+	if !victimStalled {
+		return victim, LargeEvicted
+	}
+	if victim.unread(now) {
+		return victim, UnreadClosed
 	}
-	return victim, LargeEvicted
+	return victim, StalledEvicted
 }
 
 // evictLocked marks c as evicted and appends it to victims.
-func (g *Gate) evictLocked(victims []*Claim, c *Claim, kind Kind) []*Claim {
+func (g *Gate) evictLocked(victims evictions, c *Claim, kind Kind) evictions {
 	c.evicted = true
-	g.evicted++
+	if c.detached = kind.Closes(); c.detached {
+		g.detached++
+	} else {
+		g.evicted++
+	}
 	g.evictedBytes += c.bytes
 	g.observe(kind)
-	return append(victims, c)
+	return append(victims, eviction{c, kind})
 }
 
 func (g *Gate) observe(kind Kind) {
 	if g.Observe != nil {
-		g.Observe(kind, g.used, len(g.claims))
+		g.Observe(kind, g.used, len(g.claims)-g.detached)
 	}
 }
--- a/core/intake/intakehttp/body.go
+++ b/core/intake/intakehttp/body.go
@@ -108,7 +108,7 @@
 	c.mu.Lock()
 	c.unread = false
 	c.mu.Unlock()
-	return c.claim.Work() && c.SetReadDeadline(time.Time{}) == nil
+	return c.work() && c.SetReadDeadline(time.Time{}) == nil
 }
 
 // bodyError returns the error for a body whose reading failed with err.
--- a/core/intake/intakehttp/conn.go
+++ b/core/intake/intakehttp/conn.go
@@ -31,8 +31,9 @@
 	claim  *intake.Claim
 
 	// The fields below belong to the goroutine that reads headers.
-	since  time.Time  // end of the previous request, then time of the first byte of the header
-	header headerScan // what has been read of the header
+	since    time.Time  // end of the previous request, then time of the first byte of the header
+	header   headerScan // what has been read of the header
+	received bool       // bytes of the header have arrived after the reply to the previous request
 
 	mu      sync.Mutex
 	evicted bool
@@ -41,14 +42,22 @@
 	unread  bool   // the request has a body whose end has not been read
 }
 
-// evict makes the pending and all later reads fail.
-func (c *conn) evict() {
+// evict makes the pending and all later reads fail, which cancels the context of a request that is being
+// handled. It closes the connection at once unless its client is to get a refusal.
+func (c *conn) evict(kind intake.Kind) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.evicted = true
-	_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
+	if kind.Closes() {
+		_ = c.TCPConn.Close()
+		return
+	}
+	_ = c.TCPConn.SetReadDeadline(past)
 }
 
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
 // SetReadDeadline sets the time at which reads fail, unless they all do.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -59,14 +68,26 @@
 	return c.TCPConn.SetReadDeadline(t)
 }
 
-// Write writes p within a time.
+// Write writes p within a time, which is short if the connection is to be closed for another one.
 func (c *conn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := c.limitWrite(); err != nil {
 		return 0, err
 	}
+	c.claim.BeginWrite()
+	defer c.claim.EndWrite()
 	return c.TCPConn.Write(p)
 }
 
+// limitWrite sets the time at which the next write fails.
+func (c *conn) limitWrite() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evicted {
+		return c.SetWriteDeadline(time.Now().Add(lingerTime))
+	}
+	return c.SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 // Close closes the connection and gives its claim back.
 func (c *conn) Close() error {
 	defer c.claim.Close()
@@ -82,7 +103,15 @@
 	if hasBody {
 		return c.claim.Read()
 	}
-	return c.claim.Work()
+	return c.work()
+}
+
+// work records that the request has been read completely. It returns false if the connection has given way.
+func (c *conn) work() bool {
+	if c.received {
+		return c.claim.Work()
+	}
+	return c.claim.WorkPipelined()
 }
 
 // finish records that a handler has returned. It bounds the time for the rest of a body that was not
@@ -103,7 +132,7 @@
 	c.handled, c.unread = false, false
 	c.mu.Unlock()
 	c.claim.Wait()
-	c.since, c.header = time.Now(), headerScan{}
+	c.since, c.header, c.received = time.Now(), headerScan{}, false
 }
 
 // Read reads into p. While a header is read it enforces the limits.
@@ -163,6 +192,7 @@
 	if !c.header.started() {
 		c.since = time.Now()
 	}
+	c.received = true
 	c.mu.Lock()
 	single := c.single
 	c.single = nil
--- a/core/peer/server.go
+++ b/core/peer/server.go
@@ -140,7 +140,7 @@
 	}
 	var claim *connClaim
 	if s.Gate != nil {
-		c := s.Gate.Open(func() { _ = netConn.Close() })
+		c := s.Gate.Open(func(intake.Kind) { _ = netConn.Close() })
 		if c == nil {
 			_ = netConn.Close()
 			return
