intake, platform: connections whose clients wait for long give way

What callers saw: under clients that submit jobs which do not end and wait a minute for each, ordinary calls got 503 until these waits were over. Cause: a client decides with X-Deadline-Ms, up to 60 s, how long its request keeps a connection, and an accepted request never gave way.

If no connection is left, a request whose client says that it waits for over 3 s now gives way once it has been carried out for 0.1 s, the longest first. Clients of the platform wait for 1.5 s, so theirs never do. The connection is closed without a reply, since the job may have begun; it is cancelled as if its caller had left, and may be submitted again as after any broken connection. Ruled out: a share of the connections for such requests, which ordinary ones with the same deadline would be refused with.

TestLongWaits and TestBounds check who gives way.

--- a/core/intake/claim.go
+++ b/core/intake/claim.go
@@ -21,6 +21,7 @@
 	evict     func(Kind)
 	state     state
 	pipelined bool // the request had arrived before the reply to the one before
+	long      bool // the client waits for longer than LongWait
 	bytes     int64
 	began     time.Time // of the first byte of the request
 	last      time.Time // of the last byte, or of the last change to waiting
@@ -51,6 +52,15 @@
 	return true
 }
 
+// SetWait records how long the client waits for the reply to the current request. If that is longer than
+// LongWait, the claim is also evicted for a new connection once the request has been carried out for
+// IdleGrace, with LongClosed.
+func (c *Claim) SetWait(d time.Duration) {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	c.long = d > LongWait
+}
+
 // BeginWrite records that a write to the client has begun, which lasts for as long as the client does not
 // read what was sent before.
 func (c *Claim) BeginWrite() { c.writing.Store(int64(c.gate.Clock.Now().Sub(c.opened))) }
@@ -79,7 +89,7 @@
 	if c.state == waiting {
 		c.began = c.last
 	}
-	c.state, c.pipelined = to, false
+	c.state, c.pipelined, c.long = to, false, c.long && to != waiting
 	return true
 }
 
--- a/core/intake/doc.go
+++ b/core/intake/doc.go
@@ -14,7 +14,8 @@
 //     are larger than the claim would be, the largest first;
 //   - for a connection: those whose clients do not read, then idle ones, the longest idle first, then those
 //     that have stalled, the longest stalled first, then those with requests sent ahead, then those
-//     between requests for a moment only, then the largest of those that have taken long.
+//     whose clients wait for long, then those between requests for a moment only, then the largest of
+//     those that have been sending for long.
 //
 // The claim of any other request that has been read completely is never evicted. No share is kept for an
 // address, since many callers may be behind one.
--- a/core/intake/gate.go
+++ b/core/intake/gate.go
@@ -19,6 +19,10 @@
 // may be on its way, or have arrived at a process that is too busy to have read it.
 const IdleGrace = 100 * time.Millisecond
 
+// LongWait is the longest time for which a client may wait for a reply and hold its connection all the
+// while if there are no others left. It is twice the 1.5 s for which the clients of the platform wait.
+const LongWait = 3 * time.Second
+
 // Kind is a kind of decision.
 type Kind string
 
@@ -27,6 +31,7 @@
 	IdleClosed      Kind = "idle_closed"      // an idle connection was closed for another one
 	UnreadClosed    Kind = "unread_closed"    // a connection whose client does not read was closed
 	PipelinedClosed Kind = "pipelined_closed" // a connection with requests sent ahead was closed
+	LongClosed      Kind = "long_closed"      // a connection whose client waits for long was closed
 	StalledEvicted  Kind = "stalled_evicted"  // a request that had stalled gave way
 	LargeEvicted    Kind = "large_evicted"    // a request gave way to a smaller one
 	ConnRefused     Kind = "conn_refused"     // a connection was refused
@@ -34,8 +39,10 @@
 )
 
 // Closes reports whether a connection that gives way with this kind is closed at once, since its client
-// has no request to which a refusal could reply, or would not read it.
-func (k Kind) Closes() bool { return k == IdleClosed || k == UnreadClosed || k == PipelinedClosed }
+// has no request to which a refusal could reply, would not read it, or has one that may have run.
+func (k Kind) Closes() bool {
+	return k == IdleClosed || k == UnreadClosed || k == PipelinedClosed || k == LongClosed
+}
 
 // Gate holds the claims of a process or of one of its servers. Its exported fields must be set before
 // the first call. It is safe for concurrent use.
@@ -110,38 +117,70 @@
 	return g.used, len(g.claims) - g.detached
 }
 
-// connVictim returns the claim that gives way to a new connection, or nil if there is none.
+// class is why a claim gives way to a new connection. A lower class gives way first.
+type class int
+
+const (
+	unread class = iota
+	idle
+	stalled
+	pipelined
+	long
+	recent // idle for less than IdleGrace
+	large
+	none // does not give way
+)
+
+// kinds are the kinds of the decisions against claims of the classes that give way.
+var kinds = [none]Kind{UnreadClosed, IdleClosed, StalledEvicted, PipelinedClosed, LongClosed, IdleClosed, LargeEvicted}
+
+// class returns the class of a claim that has not been evicted.
+func (c *Claim) class(now time.Time) class {
+	silence := now.Sub(c.last)
+	switch {
+	case c.unread(now):
+		return unread
+	case c.state == working && c.pipelined:
+		return pipelined
+	case c.state == working && c.long && silence >= IdleGrace:
+		return long
+	case c.state == working:
+		return none
+	case c.state == waiting && silence < IdleGrace:
+		return recent
+	case c.state == waiting:
+		return idle
+	case silence >= StallTime:
+		return stalled
+	case now.Sub(c.began) >= StallTime:
+		return large
+	}
+	return none
+}
+
+// connVictim returns the claim that gives way to a new connection, or nil if there is none: of the lowest
+// class the largest if that is large, otherwise the one that has been without a byte for the longest.
 func (g *Gate) connVictim(now time.Time) (*Claim, Kind) {
-	var unread, idle, stalled, pipelined, recent, large *Claim
+	var victim *Claim
+	lowest := none
 	for c := range g.claims {
 		if c.evicted {
 			continue
 		}
-		if c.unread(now) {
-			unread = earlier(unread, c)
-			continue
-		}
-		silence := now.Sub(c.last)
-		switch {
-		case c.state == working && c.pipelined:
-			pipelined = earlier(pipelined, c)
-		case c.state == working:
-		case c.state == waiting && silence < IdleGrace:
-			recent = earlier(recent, c)
-		case c.state == waiting:
-			idle = earlier(idle, c)
-		case silence >= StallTime:
-			stalled = earlier(stalled, c)
-		case now.Sub(c.began) >= StallTime && (large == nil || c.bytes > large.bytes):
-			large = c
+		switch k := c.class(now); {
+		case k < lowest:
+			victim, lowest = c, k
+		case k > lowest || k == none:
+		case k == large && c.bytes <= victim.bytes:
+		case k != large && !c.last.Before(victim.last):
+		default:
+			victim = c
 		}
 	}
-	for _, v := range []eviction{{unread, UnreadClosed}, {idle, IdleClosed}, {stalled, StalledEvicted}, {pipelined, PipelinedClosed}, {recent, IdleClosed}} {
-		if v.claim != nil {
-			return v.claim, v.kind
-		}
+	if victim == nil {
+		return nil, ""
 	}
-	return large, LargeEvicted
+	return victim, kinds[lowest]
 }
 
 // eviction is a claim that gives way, and why.
@@ -160,14 +199,6 @@
 	}
 }
 
-// earlier returns that of two claims which has been without a byte for longer. The first may be nil.
-func earlier(a, b *Claim) *Claim {
-	if a == nil || b.last.Before(a.last) {
-		return b
-	}
-	return a
-}
-
 // makeRoom evicts claims, which it appends to victims, until c can have n bytes more. It evicts none
 // and returns false if that is not possible.
 func (g *Gate) makeRoom(victims evictions, c *Claim, n int64, now time.Time) (evictions, bool) {
--- a/core/intake/gate_test.go
+++ b/core/intake/gate_test.go
@@ -127,6 +127,32 @@
 	require.Equal(t, []intake.Kind{intake.PipelinedClosed, intake.PipelinedClosed}, w.kinds)
 }
 
+// TestLongWaits guards against clients that keep all connections by requests for which they wait for long,
+// and against one that gives way although its client waits for no longer than usual, or before the request
+// has had time to be carried out.
+func TestLongWaits(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1<<30, 3)
+	usual, long, next := w.open("usual"), w.open("long"), w.open("next")
+	usual.SetWait(intake.LongWait)
+	long.SetWait(intake.LongWait + 1)
+	require.True(t, long.Read())
+	require.True(t, long.Work())
+	require.True(t, usual.Work())
+	require.True(t, next.Work())
+	require.Nil(t, w.open("refused"))
+	w.pass(intake.IdleGrace)
+	next.SetWait(time.Minute)
+	require.True(t, next.Wait())
+	require.True(t, next.Work(), "a request that declares no time")
+	w.pass(intake.IdleGrace)
+	require.NotNil(t, w.open("new"))
+	require.True(t, next.Wait())
+	require.True(t, next.Work())
+	require.Equal(t, []string{"long"}, w.evicted)
+	require.Equal(t, []intake.Kind{intake.ConnRefused, intake.LongClosed}, w.kinds)
+}
+
 // TestLongReaders guards against new connections that displace requests which are only just being sent,
 // and against requests that hold a connection for as long as they send a byte now and then.
 func TestLongReaders(t *testing.T) {
@@ -214,6 +240,7 @@
 	working  bool
 	ahead    bool // working on a request that was sent ahead
 	writing  bool
+	long     bool // the client waits for long
 	evicted  bool
 	detached bool
 }
@@ -226,6 +253,8 @@
 		require.True(t, c.writing)
 	case intake.PipelinedClosed:
 		require.True(t, c.working && c.ahead)
+	case intake.LongClosed:
+		require.True(t, c.working && c.long)
 	default:
 		require.False(t, c.working, "accepted")
 	}
@@ -250,9 +279,13 @@
 	case "written":
 		c.claim.EndWrite()
 		c.writing, ok = false, !c.evicted
+	case "long":
+		c.claim.SetWait(time.Minute)
+		c.long, ok = true, !c.evicted
 	case "wait":
 		c.claim.ReleaseInput()
 		ok = c.claim.Wait()
+		c.long = c.long && !ok
 		c.working = c.working && !ok
 	case "close":
 		c.claim.Close()
@@ -281,7 +314,7 @@
 			} else {
 				n := rapid.IntRange(0, len(clients)-1).Draw(t, "client")
 				c := clients[n]
-				does := rapid.SampledFrom([]string{"read", "work", "ahead", "write", "written", "wait", "close"}).Draw(t, "does")
+				does := rapid.SampledFrom([]string{"read", "work", "ahead", "write", "written", "long", "wait", "close"}).Draw(t, "does")
 				ok := c.do(does, int64(rapid.IntRange(0, 400<<10).Draw(t, "bytes")))
 				if does == "close" {
 					clients = append(clients[:n], clients[n+1:]...)
--- a/core/intake/intakehttp/server.go
+++ b/core/intake/intakehttp/server.go
@@ -181,6 +181,14 @@
 	return c
 }
 
+// SetWait records how long the client of the request that ctx belongs to waits for the reply. One that
+// waits for longer than intake.LongWait may lose its connection to a new one.
+func SetWait(ctx context.Context, d time.Duration) {
+	if c := connOf(ctx); c != nil {
+		c.claim.SetWait(d)
+	}
+}
+
 // wrap returns a handler that marks the requests of a connection and bounds the time for the rest of a
 // body that next did not read.
 func (s *Server) wrap(next http.Handler) http.Handler {
