cell, eventloop: bounds of the start and stop orders that have no reply

What callers saw: under clients that submit jobs of 1,200 tasks of a thousandth of a core, which a runner could all run at once, ordinary queries were not answered; the process exceeded its memory and descriptors. Cause: each order takes a goroutine and a connection, and nothing bounded how many have no reply. A caller that gives such a job up causes as many stop orders at once.

Tasks now wait in the cell while 32 starts to a runner or limits.max_fds/8 to all runners have no reply. Nothing is queued behind the decision, so an order is not sent with a lease or a right to start that has aged, and timeouts of orders count from when they are sent. Ruled out: MaxConnsPerHost of the transport, by which starts would age in its queue and count as unanswered.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -105,6 +105,7 @@
 	sets           runnerSets
 	evacuations    evacuations
 	deposed        bool
+	startsInFlight int       // start orders without a reply
 	passPending    bool      // RunPass has work to do
 	draining       bool      // sends no more start orders
 	leaseUntil     time.Time // until when orders may be sent: no other instance relies on transient jobs to have ended
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -8,9 +8,40 @@
 	"gypsumward/core/work"
 )
 
+// maxStartsPerRunner bounds the start orders to one runner that have no reply. Runners of the platform take
+// 64 connections; the rest is for other orders.
+const maxStartsPerRunner = 32
+
+// startsPart is the part of the descriptors of a process that start orders without a reply may take.
+const startsPart = 8
+
+// StartLimit returns the value of Settings.MaxStarts for a process with so many descriptors; zero, which is no limit, if
+// their number is not known.
+func StartLimit(descriptors int) int {
+	if descriptors == 0 {
+		return 0
+	}
+	return max(descriptors/startsPart, 1)
+}
+
+// hasStartsLeft reports whether another start order may be sent before others have been answered.
+func (c *Cell) hasStartsLeft() bool {
+	return c.Settings.MaxStarts == 0 || c.startsInFlight < c.Settings.MaxStarts
+}
+
+// addStarts adds n to the start orders of x that have no reply.
+func (c *Cell) addStarts(x *run, n int) {
+	if n < 0 && (!c.hasStartsLeft() || x.runner.startsInFlight >= maxStartsPerRunner) {
+		c.schedulePass() // tasks may wait for this
+	}
+	x.startsInFlight += n
+	x.runner.startsInFlight += n
+	c.startsInFlight += n
+}
+
 // dispatch starts the waiting tasks that fit on runners, in order of due times.
 func (c *Cell) dispatch(now time.Time) {
-	if !c.mayStart(now) || len(c.ready) == 0 {
+	if !c.mayStart(now) || len(c.ready) == 0 || !c.hasStartsLeft() {
 		return
 	}
 	least := c.leastNeed()
@@ -80,6 +111,9 @@
 			if !t.ready {
 				continue
 			}
+			if !c.hasStartsLeft() {
+				return started
+			}
 			r := c.chooseRunner(now, t, usable)
 			if r == nil {
 				break
@@ -128,7 +162,7 @@
 	var best *runner
 	bestScore := 0.0
 	for _, r := range usable {
-		if !c.canRun(now, t, r, required) {
+		if r.startsInFlight >= maxStartsPerRunner || !c.canRun(now, t, r, required) {
 			continue
 		}
 		score := c.score(now, t, r, required, expected, timeLeft)
@@ -299,7 +333,7 @@
 func (c *Cell) sendStart(now time.Time, x *run, deadline int64) {
 	t, r := x.task, x.runner
 	x.startSent = now
-	x.startsInFlight++
+	c.addStarts(x, 1)
 	r.maxDeadline = max(r.maxDeadline, deadline)
 	if r.unansweredSince.IsZero() {
 		r.unansweredSince = now
@@ -318,7 +352,7 @@
 	}
 	x := r.runs[runKey{given.Task, given.Run}]
 	if x != nil {
-		x.startsInFlight--
+		c.addStarts(x, -1)
 	}
 	if !c.checkVerdict(now, r, given.Token, v.Verdict) {
 		c.handleNotAccepted(now, r, x, given.Token, v.Verdict)
--- a/core/cell/overtaken_test.go
+++ b/core/cell/overtaken_test.go
@@ -15,13 +15,16 @@
 // orders records the orders of a cell.
 type orders struct {
 	starts []order.Start
+	to     []string // runners that the starts were sent to
 	stops  []order.Stop
 	holds  []order.Hold
 	last   int64 // ticket of the last hold
 }
 
-func (o *orders) Start(_ order.Target, s order.Start) { o.starts = append(o.starts, s) }
-func (o *orders) Stop(_ order.Target, s order.Stop)   { o.stops = append(o.stops, s) }
+func (o *orders) Start(to order.Target, s order.Start) {
+	o.starts, o.to = append(o.starts, s), append(o.to, to.ID)
+}
+func (o *orders) Stop(_ order.Target, s order.Stop) { o.stops = append(o.stops, s) }
 func (o *orders) Hold(_ order.Target, h order.Hold, ticket int64) {
 	o.holds, o.last = append(o.holds, h), ticket
 }
--- a/core/cell/run.go
+++ b/core/cell/run.go
@@ -177,6 +177,7 @@
 		return
 	}
 	r := x.runner
+	c.addStarts(x, -x.startsInFlight)
 	delete(r.runs, x.key)
 	r.used = r.used.sub(x.resources)
 	c.watchEnd(x)
--- a/core/cell/runner.go
+++ b/core/cell/runner.go
@@ -49,6 +49,7 @@
 	maxDeadline     int64          // highest deadline in any order to it
 	acked           int64          // number up to which the effects of all ends are stored
 	ackBaseKnown    bool           // acked covers the ends before the first one reported in this incarnation
+	startsInFlight  int            // start orders of its runs without a reply
 	unackedEnds     map[int64]bool // by number above acked; true once the effects are stored
 	runs            map[runKey]*run
 	ended           endedRuns
--- a/core/cell/settings.go
+++ b/core/cell/settings.go
@@ -28,6 +28,7 @@
 	MaxWrites      int           // maximum number of write transactions in flight
 	MaxRow         int           // largest value of a row, in bytes
 	MaxJobMemory   int           // estimated memory of jobs, in bytes, beyond which no more are admitted; zero means no limit
+	MaxStarts      int           // start orders without a reply, beyond which no more tasks are started; zero means no limit
 	Interference   bool          // kinds of tasks that slow each other down are kept apart where there is free capacity
 
 	// AwaitEvacuations makes the cell start nothing before it has received an Evacuation.
--- a/core/eventloop/loop.go
+++ b/core/eventloop/loop.go
@@ -87,6 +87,7 @@
 	lastTick         time.Time
 	skipped          bool // the last tick was, since it was late
 	overload         overload.Detector
+	stops            stopQueue
 	calls            sync.WaitGroup
 	ctx              context.Context
 }
@@ -426,7 +427,8 @@
 	}
 }
 
-// orderSender sends the orders of a cell, each in a goroutine of its own.
+// orderSender sends the orders of a cell, each in a goroutine of its own. Stops of which the runner has too
+// many without a reply wait.
 type orderSender struct{ l *Loop }
 
 func (o orderSender) Start(to order.Target, s order.Start) {
@@ -436,9 +438,9 @@
 }
 
 func (o orderSender) Stop(to order.Target, s order.Stop) {
-	o.l.callAsync(orderTimeout, func(ctx context.Context) cell.Message {
-		return cell.StopReply{Runner: to.ID, Order: s, Reply: o.l.Runners.Stop(ctx, to, s)}
-	})
+	if o.l.stops.add(to, s) {
+		o.l.sendStop(to, s)
+	}
 }
 
 func (o orderSender) Hold(to order.Target, h order.Hold, ticket int64) {
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -130,7 +130,7 @@
 	s := h.settings.Current()
 	return cell.Settings{
 		Lease: s.Lease, StopGrace: s.StopGrace, EndRetention: s.StatusRetention + retentionSlack, ResubmitAfter: s.Retransmit, MaxRow: s.MaxRow,
-		MaxJobMemory: cell.JobMemory(s.MemoryMB), AwaitEvacuations: true, Interference: s.Interference,
+		MaxJobMemory: cell.JobMemory(s.MemoryMB), MaxStarts: cell.StartLimit(s.MaxFDs), AwaitEvacuations: true, Interference: s.Interference,
 	}
 }
 
