peer, hosted: calls whose callers wait for long leave room for others

What callers see: an instance makes up to 1,024 calls at a time to each other one, further ones wait. Clients of an instance that does not hold the cell, which takes 1,437 connections at 284 MB, could take all of them with jobs that do not end and for which they wait a minute, below the number of connections at which such requests give way. Ordinary submissions then wait for a call until their time is over. By reading; no client was seen to do so.

Calls with more than 3 s left are refused at once, as not run, while 768 of them are in flight or wait. TestLongCallsLeaveRoom without the bound: the fourth long call takes the last slot and the test hangs; with it passes 5 of 5 under -race.

--- a/core/peer/client.go
+++ b/core/peer/client.go
@@ -31,6 +31,11 @@
 	IdleTimeout  time.Duration // time without calls after which a connection is closed; zero means DefaultIdleTimeout
 	DialBackoff  time.Duration // time from a failed dial to the next one; zero means DefaultDialBackoff
 
+	// LongCall is the time to its deadline from which on a call is long. Long calls are refused with
+	// CodeBusy while they would take more than three quarters of MaxCalls, so that others are sent.
+	// Zero means that no call is long.
+	LongCall time.Duration
+
 	// Dial connects to a peer. If it is nil, the client uses TCP and allows
 	// DefaultDialTimeout.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
@@ -91,6 +96,13 @@
 		return &Fault{Ran: api.RanNot, Text: "client is closed"}
 	}
 	defer c.release(l)
+	if c.LongCall > 0 && timeLeft(ctx).Duration() > c.LongCall {
+		if l.longCalls.Add(1) > int64(longCallsPart(c.MaxCalls)) {
+			l.longCalls.Add(-1)
+			return &Fault{Ran: api.RanNot, Code: CodeBusy, Text: "too many long calls in flight"}
+		}
+		defer l.longCalls.Add(-1)
+	}
 	select {
 	case l.slots <- struct{}{}:
 		defer func() { <-l.slots }()
@@ -100,6 +112,9 @@
 	return l.call(ctx, method, raw, result)
 }
 
+// longCallsPart returns how many of calls may be long.
+func longCallsPart(calls int) int { return calls - max(1, calls/4) }
+
 // acquire returns the link to a peer for use by one call, or nil if the client is
 // closed. The call must release it.
 func (c *Client) acquire(addr string) *link {
--- a/core/peer/left_test.go
+++ b/core/peer/left_test.go
@@ -44,3 +44,32 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// TestLongCallsLeaveRoom guards against calls whose callers wait for long and which take all calls to a peer,
+// so that others are not sent.
+func TestLongCallsLeaveRoom(t *testing.T) {
+	t.Parallel()
+	i := newInstance()
+	addr, _ := start(t, i, "127.0.0.1:0")
+	client := newClient(t)
+	client.MaxCalls, client.LongCall = 4, time.Minute
+	call := func(timeout time.Duration, method string) error {
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
+		defer cancel()
+		return client.Call(ctx, addr, method, order{ID: "a"}, nil)
+	}
+	held := make(chan error, 4)
+	for range 3 {
+		go func() { held <- call(time.Hour, "hold") }()
+		<-i.arrived
+	}
+	go func() { held <- call(time.Hour, "hold") }()
+	err := <-held
+	require.Equal(t, api.RanNot, peer.Ran(err))
+	require.NoError(t, call(time.Minute, "take"))
+	close(i.release)
+	for range 3 {
+		require.NoError(t, <-held)
+	}
+	require.NoError(t, call(time.Hour, "take"))
+}
--- a/core/peer/link.go
+++ b/core/peer/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -21,6 +22,8 @@
 	dialing chan struct{} // semaphore of the call that dials
 	users   int           // number of calls that use the link; guarded by Client.mu
 
+	longCalls atomic.Int64 // in flight or waiting for a slot
+
 	mu      sync.Mutex
 	closed  bool
 	conn    *clientConn // latest connection; nil if there was none
--- a/gypsumward/hosted/host.go
+++ b/gypsumward/hosted/host.go
@@ -116,6 +116,7 @@
 	}
 	h.client = &peer.Client{
 		Clock: &hlc.Clock{}, MaxCalls: maxPeerCalls, PingInterval: peerHeartbeat, DialBackoff: 20 * time.Millisecond, Dial: dial,
+		LongCall: intake.LongWait,
 	}
 	h.unmatched = &unmatched{log: h.log, metrics: h.metrics}
 	h.stalls = &stall.Detector{Clock: h.clock, Log: h.log, Least: s.Retransmit / 2}
