intake: a connection gives way last until its client could send the first request

Some calls ended with a closed connection, which the process had closed as idle (idle_closed, 100 to 400 a second) before it had read their first request. A client sends a request again on another connection if one that it has used before is closed, but not the first request of a new connection.

Cause: a connection counted as idle after 0.1 s without a byte, also before its first request. A client or a process that is busy for longer than that loses such calls, while connections with requests sent ahead stay.

Change: before the first request that time is StallTime, 0.5 s. After it the 0.1 s stay.

TestFirstRequest fails without the change: the new connection is evicted before the one with requests sent ahead.

--- a/core/intake/claim.go
+++ b/core/intake/claim.go
@@ -20,6 +20,7 @@
 	gate      *Gate
 	evict     func(Kind)
 	state     state
+	used      bool // a byte of a request has arrived
 	pipelined bool // the request had arrived before the reply to the one before
 	long      bool // the client waits for longer than LongWait
 	bytes     int64
@@ -90,6 +91,7 @@
 		c.began = c.last
 	}
 	c.state, c.pipelined, c.long = to, false, c.long && to != waiting
+	c.used = c.used || to != waiting
 	return true
 }
 
--- a/core/intake/gate.go
+++ b/core/intake/gate.go
@@ -16,7 +16,8 @@
 const StallTime = 500 * time.Millisecond
 
 // IdleGrace is the time without a byte within which a connection between requests gives way last: a request
-// may be on its way, or have arrived at a process that is too busy to have read it.
+// may be on its way, or have arrived at a process that is too busy to have read it. Before the first request
+// it is StallTime: clients repeat a request on a new connection, but not the first request of one.
 const IdleGrace = 100 * time.Millisecond
 
 // LongWait is the longest time for which a client may wait for a reply and hold its connection all the
@@ -126,7 +127,7 @@
 	stalled
 	pipelined
 	long
-	recent // idle for less than IdleGrace
+	recent // idle for less than IdleGrace, or StallTime before the first request
 	large
 	none // does not give way
 )
@@ -146,7 +147,7 @@
 		return long
 	case c.state == working:
 		return none
-	case c.state == waiting && silence < IdleGrace:
+	case c.state == waiting && (silence < IdleGrace || !c.used && silence < StallTime):
 		return recent
 	case c.state == waiting:
 		return idle
--- a/core/intake/gate_test.go
+++ b/core/intake/gate_test.go
@@ -153,6 +153,28 @@
 	require.Equal(t, []intake.Kind{intake.ConnRefused, intake.LongClosed}, w.kinds)
 }
 
+// TestFirstRequest guards against new connections that displace one whose client has not had the time to
+// send its first request, while there are others that give way.
+func TestFirstRequest(t *testing.T) {
+	t.Parallel()
+	w := newWorld(1<<30, 3)
+	used, ahead := w.open("used"), w.open("ahead")
+	require.True(t, used.Read())
+	require.True(t, used.Wait())
+	require.True(t, ahead.WorkPipelined())
+	w.pass(intake.IdleGrace)
+	first := w.open("first")
+	w.pass(intake.StallTime - time.Millisecond)
+	require.NotNil(t, w.open("second"))
+	require.NotNil(t, w.open("third"))
+	require.Equal(t, []string{"used", "ahead"}, w.evicted)
+	require.True(t, first.Read())
+	require.True(t, first.Wait())
+	w.pass(intake.IdleGrace)
+	require.NotNil(t, w.open("fourth"))
+	require.Equal(t, []string{"used", "ahead", "first"}, w.evicted)
+}
+
 // TestLongReaders guards against new connections that displace requests which are only just being sent,
 // and against requests that hold a connection for as long as they send a byte now and then.
 func TestLongReaders(t *testing.T) {
