peer: a test of unfinished messages that waits until they have been read

Cause, in the test: it began to call once more than 200,000 bytes were held, which eight silent connections and a little of their input are already. The rest was still being read, and a connection that has sent less than the caller's may displace it, as it should.

The test now waits after each connection until the gate has decided about it and the input of all that are open is held in full, and then makes the same checks: over 200,000 bytes are held, one call is answered, at most a quarter more than the bound is held, fewer than 8 connections are open. The wait that could end before the first eviction is gone, so it is as strict.

--- a/core/peer/intake_test.go
+++ b/core/peer/intake_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,14 +38,21 @@
 // memory is bounded, and a caller is served meanwhile.
 func TestUnfinishedMessages(t *testing.T) {
 	t.Parallel()
+	const sent, copies = 20_000, 3
 	i := newInstance()
-	i.Gate = &intake.Gate{Bytes: 300_000, Conns: 100, Clock: monotonic.Clock{}}
+	var decisions atomic.Int64 // each closes a connection
+	i.Gate = &intake.Gate{Bytes: 300_000, Conns: 100, Clock: monotonic.Clock{}, Observe: func(intake.Kind, int64, int) { decisions.Add(1) }}
 	i.MaxMessage = 1 << 20
 	addr, _ := start(t, i, "127.0.0.1:0")
-	for range 8 {
-		unfinished(t, addr, 1<<20, 20_000)
+	for n := range 8 {
+		unfinished(t, addr, 1<<20, sent)
+		require.Eventually(t, func() bool {
+			used, conns := i.Gate.Used()
+			return conns+int(decisions.Load()) == n+1 && used >= int64(conns)*(intake.ConnBytes+copies*sent)
+		}, 10*time.Second, time.Millisecond, "all input has been read")
 	}
-	require.Eventually(t, func() bool { used, _ := i.Gate.Used(); return used > 200_000 }, 10*time.Second, time.Millisecond)
+	used, _ := i.Gate.Used()
+	require.Greater(t, used, int64(200_000))
 	require.NoError(t, newClient(t).Call(t.Context(), addr, "take", order{ID: "a"}, nil))
 	used, conns := i.Gate.Used()
 	require.LessOrEqual(t, used, int64(300_000+300_000/4))
