server: a refusal for want of memory says when to try again

Callers of the own interface saw a 503 whose refusal had no retry, which docs/API.md calls "do not try again", beside a header Retry-After: 1. Cause: the refusal for intakehttp.ErrCapacity left RetryAfter out. It is 1 s now, as in the header; the call has not run, so trying again is right.

--- a/gypsumward/server/server.go
+++ b/gypsumward/server/server.go
@@ -219,7 +219,7 @@
 	switch {
 	case errors.Is(err, intakehttp.ErrCapacity):
 		c.Response().Header().Set("Retry-After", "1")
-		return &api.Refusal{Reason: api.ReasonFull, Detail: detailNoMemory, Ran: api.RanNot}
+		return &api.Refusal{Reason: api.ReasonFull, Detail: detailNoMemory, Ran: api.RanNot, RetryAfter: span.Second}
 	case errors.Is(err, intakehttp.ErrTooSlow):
 		return &api.Refusal{Reason: api.ReasonInvalid, Detail: detailTooSlow, Ran: api.RanNot}
 	case err != nil:
--- a/gypsumward/server/server_test.go
+++ b/gypsumward/server/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumward/core/api"
+	"gypsumward/core/intake/intakehttp"
 	"gypsumward/core/span"
 	"gypsumward/gypsumward/server"
 )
@@ -89,3 +91,35 @@
 		require.Equal(t, c.deadline, sent.sent[0].Deadline, c.name)
 	}
 }
+
+// failing is a body whose reading fails.
+type failing struct{ err error }
+
+func (f failing) Read([]byte) (int, error) { return 0, f.err }
+
+// TestUnreadBodies guards against refusals of bodies that could not be read that do not say whether to try
+// again.
+func TestUnreadBodies(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		err   error
+		code  int
+		retry span.Span
+	}{
+		{intakehttp.ErrCapacity, 503, span.Second},
+		{intakehttp.ErrTooSlow, 408, 0},
+	} {
+		sent := &requests{}
+		h := http.NewServer()
+		s := &server.Server{Requests: sent, Teams: crew{}, Observer: &recorder{}, MaxBodyBytes: 1000}
+		s.Mount(h)
+		answer := httptest.NewRecorder()
+		h.ServeHTTP(answer, httptest.NewRequest("POST", "/v1/request", failing{c.err}))
+		require.Equal(t, c.code, answer.Code)
+		var r api.Refusal
+		require.NoError(t, json.Unmarshal(answer.Body.Bytes(), &r))
+		require.Equal(t, api.RanNot, r.Ran)
+		require.Equal(t, c.retry, r.RetryAfter)
+		require.Empty(t, sent.sent)
+	}
+}
