intake: names of the classes of claims that tell them from fields and methods

The constants unread, pipelined and long stood beside a method and two fields of the same names. No change of behaviour; the tests of intake and peer pass under the race detector. design/intake.md has what was tried and what is left.

--- a/core/intake/gate.go
+++ b/core/intake/gate.go
@@ -122,48 +122,48 @@
 type class int
 
 const (
-	unread class = iota
-	idle
-	stalled
-	pipelined
-	long
-	recent // idle for less than IdleGrace, or StallTime before the first request
-	large
-	none // does not give way
+	classUnread class = iota
+	classIdle
+	classStalled
+	classPipelined
+	classLong
+	classRecent // idle for less than IdleGrace, or StallTime before the first request
+	classLarge
+	classNone // does not give way
 )
 
 // kinds are the kinds of the decisions against claims of the classes that give way.
-var kinds = [none]Kind{UnreadClosed, IdleClosed, StalledEvicted, PipelinedClosed, LongClosed, IdleClosed, LargeEvicted}
+var kinds = [classNone]Kind{UnreadClosed, IdleClosed, StalledEvicted, PipelinedClosed, LongClosed, IdleClosed, LargeEvicted}
 
 // class returns the class of a claim that has not been evicted.
 func (c *Claim) class(now time.Time) class {
 	silence := now.Sub(c.last)
 	switch {
 	case c.unread(now):
-		return unread
+		return classUnread
 	case c.state == working && c.pipelined:
-		return pipelined
+		return classPipelined
 	case c.state == working && c.long && silence >= IdleGrace:
-		return long
+		return classLong
 	case c.state == working:
-		return none
+		return classNone
 	case c.state == waiting && (silence < IdleGrace || !c.used && silence < StallTime):
-		return recent
+		return classRecent
 	case c.state == waiting:
-		return idle
+		return classIdle
 	case silence >= StallTime:
-		return stalled
+		return classStalled
 	case now.Sub(c.began) >= StallTime:
-		return large
+		return classLarge
 	}
-	return none
+	return classNone
 }
 
 // connVictim returns the claim that gives way to a new connection, or nil if there is none: of the lowest
 // class the largest if that is large, otherwise the one that has been without a byte for the longest.
 func (g *Gate) connVictim(now time.Time) (*Claim, Kind) {
 	var victim *Claim
-	lowest := none
+	lowest := classNone
 	for c := range g.claims {
 		if c.evicted {
 			continue
@@ -171,9 +171,9 @@
 		switch k := c.class(now); {
 		case k < lowest:
 			victim, lowest = c, k
-		case k > lowest || k == none:
-		case k == large && c.bytes <= victim.bytes:
-		case k != large && !c.last.Before(victim.last):
+		case k > lowest || k == classNone:
+		case k == classLarge && c.bytes <= victim.bytes:
+		case k != classLarge && !c.last.Before(victim.last):
 		default:
 			victim = c
 		}
