intake, platform: the state of a pipelined request is set under one lock

WorkPipelined took the lock of the gate twice, and between the two the claim counted as one that does not give way. No other change of behaviour: the tests of intake, peer and the queries pass under the race detector.

--- a/core/intake/claim.go
+++ b/core/intake/claim.go
@@ -35,23 +35,15 @@
 }
 
 // Read records that a byte of a request has arrived.
-func (c *Claim) Read() bool { return c.change(reading) }
+func (c *Claim) Read() bool { return c.change(reading, false) }
 
 // Work records that the request has been read completely and is being carried out. From then on the
 // claim is evicted only if a write is pending for long.
-func (c *Claim) Work() bool { return c.change(working) }
+func (c *Claim) Work() bool { return c.change(working, false) }
 
 // WorkPipelined is like Work for a request that had arrived before the reply to the one before it. Its
 // claim is also evicted for a new connection, with PipelinedClosed.
-func (c *Claim) WorkPipelined() bool {
-	if !c.change(working) {
-		return false
-	}
-	c.gate.mu.Lock()
-	defer c.gate.mu.Unlock()
-	c.pipelined = true
-	return true
-}
+func (c *Claim) WorkPipelined() bool { return c.change(working, true) }
 
 // SetWait records how long the client waits for the reply to the current request. If that is longer than
 // LongWait, the claim is also evicted for a new connection once the request has been carried out for
@@ -78,9 +70,9 @@
 }
 
 // Wait records the end of a request, or that a client need not be waited for any longer.
-func (c *Claim) Wait() bool { return c.change(waiting) }
+func (c *Claim) Wait() bool { return c.change(waiting, false) }
 
-func (c *Claim) change(to state) bool {
+func (c *Claim) change(to state, pipelined bool) bool {
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
 	if c.evicted {
@@ -90,7 +82,7 @@
 	if c.state == waiting {
 		c.began = c.last
 	}
-	c.state, c.pipelined, c.long = to, false, c.long && to != waiting
+	c.state, c.pipelined, c.long = to, pipelined, c.long && to != waiting
 	c.used = c.used || to != waiting
 	return true
 }
