--- a/core/intake/intakehttp/body.go
+++ b/core/intake/intakehttp/body.go
@@ -151,15 +151,20 @@
 	return true
 }
 
-// retryAfter is the time after which a refused client may retry.
-const retryAfter = time.Second
+// RetryAfter is the time after which a client may retry that was refused for want of capacity.
+const RetryAfter = time.Second
+
+// SetRetryAfter sets the header Retry-After of a reply to RetryAfter, if its status is that of ErrCapacity.
+func SetRetryAfter(w http.ResponseWriter, status int) {
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", strconv.Itoa(int(RetryAfter.Seconds())))
+	}
+}
 
 // refuse writes the reply to a request that is refused.
 func refuse(w http.ResponseWriter, status int) {
 	w.Header().Set("Connection", "close")
-	if status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter.Seconds())))
-	}
+	SetRetryAfter(w, status)
 	w.WriteHeader(status)
 }
 
--- a/core/intake/intakehttp/conn.go
+++ b/core/intake/intakehttp/conn.go
@@ -245,7 +245,7 @@
 func (c *conn) respond(status int) {
 	retry := ""
 	if status == http.StatusServiceUnavailable {
-		retry = "Retry-After: 1\r\n"
+		retry = fmt.Sprintf("Retry-After: %d\r\n", int(RetryAfter.Seconds()))
 	}
 	deadline := time.Now().Add(lingerTime)
 	_ = c.SetWriteDeadline(deadline)
--- a/core/settings/httpapi/handler.go
+++ b/core/settings/httpapi/handler.go
@@ -89,9 +89,7 @@
 	body, err := io.ReadAll(nethttp.MaxBytesReader(nil, c.Request().Body, MaxBodyBytes))
 	if err != nil {
 		status := intakehttp.Status(err, nethttp.StatusRequestEntityTooLarge)
-		if status == nethttp.StatusServiceUnavailable {
-			c.Response().Header().Set("Retry-After", "1")
-		}
+		intakehttp.SetRetryAfter(c.Response(), status)
 		return c.JSON(status, refusalNotRun(api.ReasonInvalid, err.Error()))
 	}
 	var change settings.Change
--- a/gypsumward/auth/guard.go
+++ b/gypsumward/auth/guard.go
@@ -104,9 +104,7 @@
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, httpapi.MaxBodyBytes))
 	if err != nil {
 		status := intakehttp.Status(err, http.StatusRequestEntityTooLarge)
-		if status == http.StatusServiceUnavailable {
-			w.Header().Set("Retry-After", "1")
-		}
+		intakehttp.SetRetryAfter(w, status)
 		g.refuse(w, status, "the body was cut off, is too large or too slow, or no memory is left for it")
 		return
 	}
--- a/gypsumward/server/server.go
+++ b/gypsumward/server/server.go
@@ -218,8 +218,8 @@
 	body, err := io.ReadAll(nethttp.MaxBytesReader(nil, c.Request().Body, s.MaxBodyBytes))
 	switch {
 	case errors.Is(err, intakehttp.ErrCapacity):
-		c.Response().Header().Set("Retry-After", "1")
-		return &api.Refusal{Reason: api.ReasonFull, Detail: detailNoMemory, Ran: api.RanNot, RetryAfter: span.Second}
+		intakehttp.SetRetryAfter(c.Response(), nethttp.StatusServiceUnavailable)
+		return &api.Refusal{Reason: api.ReasonFull, Detail: detailNoMemory, Ran: api.RanNot, RetryAfter: span.Span(intakehttp.RetryAfter)}
 	case errors.Is(err, intakehttp.ErrTooSlow):
 		return &api.Refusal{Reason: api.ReasonInvalid, Detail: detailTooSlow, Ran: api.RanNot}
 	case err != nil:
