--- a/review/world3/main.go
+++ b/review/world3/main.go
@@ -11,9 +11,9 @@
 var cases = map[string]func(folder string) bool{
 	"gang":    gangAfterFailures,
 	"replica": replicaElsewhere,
-	"fills":   fillsBesideServing,
 	"cancel":  cancelElsewhere,
-	"chaos":   chaos,
+	"entry":   entryWithoutZone,
+	"twice":   entryOfOtherAddress,
 }
 
 func main() {
