--- a/review/world3/world.go
+++ b/review/world3/world.go
@@ -44,6 +44,7 @@
 	began  time.Time
 	ended  time.Time
 	how    string
+	noted  bool // the end was taken note of, and the runner's lease had not lapsed since
 }
 
 // instance is a process of the project.
@@ -287,6 +288,17 @@
 	}
 }
 
+// noted accounts for an end that was taken note of. The caller holds the lock of the runner.
+func (w *world) noted(r *runner, e end) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, p := range w.byJob[e.task[:16]] {
+		if p.task == e.task && p.n == e.run && p.runner == r.id {
+			p.noted = true
+		}
+	}
+}
+
 // running returns the tasks of a job that are at work now, and all its runs so far.
 func (w *world) running(id string) (now int, all int, tasks map[string]bool) {
 	w.mu.Lock()
